--- /dev/null
+++ b/core/src/main/java/org/cowslipmoor/core/discovery/DiscoveredTarget.java
@@ -0,0 +1,34 @@
+package org.cowslipmoor.core.discovery;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * A target as it announces itself.
+ *
+ * @param life this run of its process
+ * @param service name of its service
+ * @param address where it listens, as {@code ip:port}
+ * @param dataCentre the data centre that it runs in
+ * @param slots requests that it processes at the same time, at least 1
+ * @param draining whether it is about to leave and must get no new requests
+ * @param coldMillis milliseconds for which it was still slow when it wrote this
+ */
+public record DiscoveredTarget(
+    TargetLife life,
+    String service,
+    String address,
+    String dataCentre,
+    int slots,
+    boolean draining,
+    long coldMillis) {
+
+  /** Checks the number of slots. */
+  public DiscoveredTarget {
+    checkArgument(slots >= 1, "slots must be at least 1, but is %s", slots);
+  }
+
+  /** Returns the target's id. */
+  public String id() {
+    return life.id();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cowslipmoor/core/discovery/TargetDirectory.java
@@ -0,0 +1,73 @@
+package org.cowslipmoor.core.discovery;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** The targets that are known, in order of their ids. Immutable. */
+public final class TargetDirectory {
+  private static final TargetDirectory EMPTY = of(List.of());
+
+  private final ImmutableMap<String, DiscoveredTarget> byId;
+  private final ImmutableMap<String, ImmutableList<DiscoveredTarget>> usableByService;
+
+  private TargetDirectory(
+      ImmutableMap<String, DiscoveredTarget> byId,
+      ImmutableMap<String, ImmutableList<DiscoveredTarget>> usableByService) {
+    this.byId = byId;
+    this.usableByService = usableByService;
+  }
+
+  /** Returns the directory that lists no target. */
+  public static TargetDirectory empty() {
+    return EMPTY;
+  }
+
+  /**
+   * Creates a directory.
+   *
+   * @throws IllegalArgumentException if two targets have one id
+   */
+  public static TargetDirectory of(Iterable<DiscoveredTarget> targets) {
+    List<DiscoveredTarget> sorted = new ArrayList<>();
+    targets.forEach(sorted::add);
+    sorted.sort(Comparator.comparing(DiscoveredTarget::id));
+    ImmutableMap.Builder<String, DiscoveredTarget> byId = ImmutableMap.builder();
+    Map<String, ImmutableList.Builder<DiscoveredTarget>> usable = new HashMap<>();
+    for (DiscoveredTarget t : sorted) {
+      byId.put(t.id(), t);
+      if (!t.draining()) {
+        usable.computeIfAbsent(t.service(), unused -> ImmutableList.builder()).add(t);
+      }
+    }
+    ImmutableMap.Builder<String, ImmutableList<DiscoveredTarget>> lists = ImmutableMap.builder();
+    usable.forEach((service, list) -> lists.put(service, list.build()));
+    return new TargetDirectory(byId.buildOrThrow(), lists.buildOrThrow());
+  }
+
+  /** Returns all targets by id, those that are draining included. */
+  public ImmutableMap<String, DiscoveredTarget> all() {
+    return byId;
+  }
+
+  /** Returns the targets of a service that may get new requests. */
+  public ImmutableList<DiscoveredTarget> usable(String service) {
+    return usableByService.getOrDefault(service, ImmutableList.of());
+  }
+
+  /** Returns the target if this very life of it is known. */
+  public Optional<DiscoveredTarget> find(TargetLife life) {
+    DiscoveredTarget target = byId.get(life.id());
+    return target != null && target.life().equals(life) ? Optional.of(target) : Optional.empty();
+  }
+
+  /** Tells whether this very life of a target is known and may get new requests. */
+  public boolean isUsable(TargetLife life) {
+    return find(life).filter(t -> !t.draining()).isPresent();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cowslipmoor/core/range/Holding.java
@@ -0,0 +1,68 @@
+package org.cowslipmoor.core.range;
+
+import org.cowslipmoor.core.discovery.DiscoveredTarget;
+import org.jspecify.annotations.Nullable;
+
+/** What the coordinator knows of one entry's grant. Times are nanoseconds. */
+final class Holding {
+  final RangeEntry entry;
+
+  /** Whether the store has the entry, so that it may be granted. */
+  boolean isWritten;
+
+  /** Whether the owner has accepted a grant under this fence. */
+  boolean isAccepted;
+
+  boolean isGrantInFlight;
+  boolean isReleaseInFlight;
+  boolean isReleased;
+  @Nullable String handover;
+
+  /** Where the keys are to go; null when the owner keeps them or is chosen once they are free. */
+  @Nullable DiscoveredTarget destination;
+
+  /** Hold of the newest grant. */
+  long holdInFlight;
+
+  long nextGrantAt;
+  long nextReleaseAt;
+
+  /** When the owner last accepted a grant, or this entry began. */
+  long acceptedAt;
+
+  /** Until when the owner may hold the keys. */
+  long heldUntil;
+
+  /** Until when a grant that got no answer may still be carried out and hold. */
+  long unsettledUntil;
+
+  Holding(RangeEntry entry, long now) {
+    this.entry = entry;
+    this.nextGrantAt = now;
+    this.nextReleaseAt = now;
+    this.acceptedAt = now;
+    this.heldUntil = now;
+    this.unsettledUntil = now;
+  }
+
+  /** Returns a part of this holding; nothing may be in flight. */
+  Holding part(int from, int to) {
+    Holding part = new Holding(entry.part(from, to), nextGrantAt);
+    part.isWritten = isWritten;
+    part.isAccepted = isAccepted;
+    part.nextReleaseAt = nextReleaseAt;
+    part.acceptedAt = acceptedAt;
+    part.heldUntil = heldUntil;
+    part.unsettledUntil = unsettledUntil;
+    return part;
+  }
+
+  /** Tells whether the owner, as far as it still runs, surely does not hold the keys any more. */
+  boolean isFree(long now) {
+    if (isGrantInFlight || isReleaseInFlight) {
+      return false;
+    }
+    boolean settled = now - unsettledUntil >= 0;
+    return settled && (isReleased || now - heldUntil >= 0);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
@@ -0,0 +1,371 @@
+package org.cowslipmoor.core.range;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.cowslipmoor.core.discovery.DiscoveredTarget;
+import org.cowslipmoor.core.discovery.TargetDirectory;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Decides, during one tenure of the coordinator, who holds which keys. Takes the present time, what
+ * is known, and the outcomes of its actions; does no I/O and reads no clock. Not thread-safe.
+ *
+ * <p>A new owner is written to the store before it is granted the keys, and only once the former
+ * one surely does not hold them: it has released them and no unanswered grant can still be carried
+ * out, or all its grants have lapsed, or it runs no more. A tenure begins by raising all fences, so
+ * that grants of the former coordinator that are carried out late are refused by the targets.
+ */
+public final class RangeCoordinator {
+  /** Added to the last fence when a target knows a higher one than the store. */
+  private static final long FENCE_JUMP = 1_000;
+
+  /** Longest time that the first division of a service waits for its targets to settle. */
+  private static final long LONGEST_SETTLING = 4_000_000_000L;
+
+  private final RangeTiming timing;
+  private final List<Holding> holdings = new ArrayList<>();
+  private final Map<String, Settling> settling = new HashMap<>();
+  private long version;
+  private long lastFence;
+  private @Nullable RangeTable writing;
+  private boolean mustWrite;
+  private boolean wasLeaseCertain = true;
+  private long nextRebalanceAt;
+
+  private record Settling(ImmutableSet<String> targets, long since, long firstSeen) {}
+
+  private RangeCoordinator(RangeTable stored, RangeTiming timing, long now) {
+    this.timing = timing;
+    this.version = stored.version();
+    this.lastFence = stored.lastFence();
+    this.nextRebalanceAt = now + timing.rebalance();
+    for (RangeEntry e : merged(stored)) {
+      lastFence++;
+      Holding h = new Holding(e.withFence(lastFence), now);
+      h.heldUntil = timing.lapse(now, timing.longHold());
+      h.unsettledUntil = h.heldUntil;
+      holdings.add(h);
+      mustWrite = true;
+    }
+  }
+
+  /**
+   * Begins a tenure.
+   *
+   * @param stored the table in the store
+   * @param timing durations of grants
+   * @param now the present time in nanoseconds
+   */
+  public static RangeCoordinator begin(RangeTable stored, RangeTiming timing, long now) {
+    return new RangeCoordinator(stored, timing, now);
+  }
+
+  /** Does what is due; to be called every few tens of milliseconds while the lease is held. */
+  public ImmutableList<RangeAction> tick(long now, RangeInputs inputs) {
+    ImmutableList.Builder<RangeAction> actions = ImmutableList.builder();
+    if (wasLeaseCertain && !inputs.leaseCertain()) {
+      holdings.forEach(h -> h.nextGrantAt = now);
+    }
+    wasLeaseCertain = inputs.leaseCertain();
+    if (writing == null) {
+      divideNewServices(now, inputs);
+      rebalance(now, inputs);
+      reassignFree(now, inputs);
+      if (mustWrite) {
+        write(actions);
+      }
+    }
+    long hold = inputs.leaseCertain() ? timing.hold() : timing.longHold();
+    for (Holding h : holdings) {
+      act(now, h, hold, inputs.directory(), actions);
+    }
+    return actions.build();
+  }
+
+  /** Takes the outcome of a {@link RangeAction.Grant}. */
+  public void onGrant(long now, RangeEntry entry, GrantOutcome outcome) {
+    Holding h = find(entry);
+    if (h == null) {
+      return;
+    }
+    h.isGrantInFlight = false;
+    long lapse = timing.lapse(now, h.holdInFlight);
+    switch (outcome) {
+      case ACCEPTED -> {
+        if (!h.isAccepted) {
+          // Earlier grants bear lower fences, which the target refuses from now on.
+          h.unsettledUntil = now;
+          h.heldUntil = now;
+        }
+        h.isAccepted = true;
+        h.acceptedAt = now;
+        h.heldUntil = later(h.heldUntil, lapse);
+        h.nextGrantAt = now + timing.renewal();
+      }
+      case UNKNOWN -> {
+        h.unsettledUntil = later(h.unsettledUntil, lapse);
+        h.heldUntil = later(h.heldUntil, lapse);
+        h.nextGrantAt = now + timing.releaseRetry();
+      }
+      case FENCED -> {
+        raiseFence(now, h);
+      }
+      case REFUSED, NOT_SENT -> h.nextGrantAt = now + timing.releaseRetry();
+      default -> throw new IllegalArgumentException("unknown outcome: " + outcome);
+    }
+  }
+
+  /**
+   * Takes the outcome of a {@link RangeAction.Release}.
+   *
+   * @param released whether the target has told that it no longer holds the keys
+   * @param handover what it gave for the next owner; null when nothing
+   */
+  public void onRelease(long now, RangeEntry entry, boolean released, @Nullable String handover) {
+    Holding h = find(entry);
+    if (h == null) {
+      return;
+    }
+    h.isReleaseInFlight = false;
+    h.isReleased |= released;
+    h.handover = released ? handover : h.handover;
+    h.nextReleaseAt = now + timing.releaseRetry();
+  }
+
+  /** Takes the news that the store has the table of the newest {@link RangeAction.Write}. */
+  public void onWritten(RangeTable table) {
+    version = table.version();
+    writing = null;
+    ImmutableSet<RangeEntry> written = ImmutableSet.copyOf(table.entries());
+    holdings.forEach(h -> h.isWritten |= written.contains(h.entry));
+  }
+
+  /** Takes the news that the newest {@link RangeAction.Write} was not done and never will be. */
+  public void onNotWritten() {
+    writing = null;
+    mustWrite = true;
+  }
+
+  /** Returns the number of ranges. */
+  public int rangeCount() {
+    return holdings.size();
+  }
+
+  private void act(
+      long now,
+      Holding h,
+      long hold,
+      TargetDirectory directory,
+      ImmutableList.Builder<RangeAction> actions) {
+    if (!h.isWritten || h.isGrantInFlight || h.isReleaseInFlight) {
+      return;
+    }
+    boolean known = directory.find(h.entry.owner()).isPresent();
+    if (isLeaving(now, h, directory) && (h.isAccepted || !known)) {
+      if (!h.isReleased && now - h.nextReleaseAt >= 0) {
+        h.isReleaseInFlight = true;
+        actions.add(new RangeAction.Release(h.entry));
+      }
+    } else if (now - h.nextGrantAt >= 0) {
+      h.isGrantInFlight = true;
+      h.holdInFlight = hold;
+      actions.add(new RangeAction.Grant(h.entry, hold));
+    }
+  }
+
+  private boolean isLeaving(long now, Holding h, TargetDirectory directory) {
+    return h.destination != null
+        || h.isReleased
+        || !directory.isUsable(h.entry.owner())
+        || isLost(now, h);
+  }
+
+  /** Tells whether the owner has not taken a grant for so long that it no longer holds the keys. */
+  private boolean isLost(long now, Holding h) {
+    return h.isWritten && now - h.acceptedAt >= timing.hold() + timing.renewal() && h.isFree(now);
+  }
+
+  private void divideNewServices(long now, RangeInputs inputs) {
+    for (String service : inputs.services()) {
+      if (holdings.stream().anyMatch(h -> h.entry.service().equals(service))) {
+        settling.remove(service);
+        continue;
+      }
+      ImmutableList<DiscoveredTarget> targets = inputs.directory().usable(service);
+      if (targets.isEmpty() || !isSettled(now, service, targets)) {
+        continue;
+      }
+      ImmutableList<RangeEntry> entries =
+          new RangePlanner(targets, load(service, inputs)).initial(service, lastFence);
+      entries.forEach(e -> holdings.add(new Holding(e, now)));
+      lastFence += entries.size();
+      mustWrite = true;
+    }
+  }
+
+  private boolean isSettled(long now, String service, List<DiscoveredTarget> targets) {
+    ImmutableSet<String> ids =
+        targets.stream().map(DiscoveredTarget::id).collect(ImmutableSet.toImmutableSet());
+    Settling before = settling.get(service);
+    if (before == null || !before.targets().equals(ids)) {
+      long firstSeen = before == null ? now : before.firstSeen();
+      settling.put(service, new Settling(ids, now, firstSeen));
+      return now - firstSeen >= LONGEST_SETTLING;
+    }
+    return now - before.since() >= timing.settling();
+  }
+
+  private void rebalance(long now, RangeInputs inputs) {
+    if (now - nextRebalanceAt < 0 || !inputs.leaseCertain()) {
+      return;
+    }
+    nextRebalanceAt = now + timing.rebalance();
+    for (String service : inputs.services()) {
+      ImmutableList<DiscoveredTarget> targets = inputs.directory().usable(service);
+      List<Holding> own = holdings.stream().filter(h -> h.entry.service().equals(service)).toList();
+      boolean quiet =
+          own.stream().allMatch(h -> h.isAccepted && !isLeaving(now, h, inputs.directory()));
+      if (targets.size() < 2 || own.isEmpty() || !quiet) {
+        continue;
+      }
+      List<RangeEntry> entries = own.stream().map(h -> h.entry).toList();
+      for (RangePlanner.Move m : new RangePlanner(targets, load(service, inputs)).moves(entries)) {
+        split(m);
+      }
+    }
+  }
+
+  /** Cuts the piece out of its holding and marks it for its destination. */
+  private void split(RangePlanner.Move move) {
+    Holding whole = find(move.entry());
+    if (whole == null || whole.isGrantInFlight) {
+      return;
+    }
+    holdings.remove(whole);
+    KeyRange all = whole.entry.range();
+    KeyRange piece = move.piece();
+    if (all.from() < piece.from()) {
+      holdings.add(whole.part(all.from(), piece.from() - 1));
+    }
+    Holding moved = whole.part(piece.from(), piece.to());
+    moved.destination = move.to();
+    holdings.add(moved);
+    if (piece.to() < all.to()) {
+      holdings.add(whole.part(piece.to() + 1, all.to()));
+    }
+  }
+
+  private void reassignFree(long now, RangeInputs inputs) {
+    for (Holding h : List.copyOf(holdings)) {
+      TargetDirectory directory = inputs.directory();
+      if (!isLeaving(now, h, directory) || !(h.isFree(now) || hasRestarted(h, directory))) {
+        continue;
+      }
+      Optional<DiscoveredTarget> next = destination(h, inputs);
+      if (next.isEmpty()) {
+        continue;
+      }
+      lastFence++;
+      RangeEntry e =
+          new RangeEntry(
+              h.entry.service(),
+              h.entry.range(),
+              next.get().life(),
+              next.get().address(),
+              lastFence,
+              h.handover);
+      holdings.set(holdings.indexOf(h), new Holding(e, now));
+      mustWrite = true;
+    }
+  }
+
+  private Optional<DiscoveredTarget> destination(Holding h, RangeInputs inputs) {
+    DiscoveredTarget wanted = h.destination;
+    if (wanted != null && inputs.directory().isUsable(wanted.life())) {
+      return Optional.of(wanted);
+    }
+    String service = h.entry.service();
+    ImmutableList<DiscoveredTarget> targets =
+        inputs.directory().usable(service).stream()
+            .filter(t -> !t.life().equals(h.entry.owner()))
+            .collect(ImmutableList.toImmutableList());
+    if (targets.isEmpty()) {
+      return Optional.empty();
+    }
+    List<RangeEntry> others =
+        holdings.stream()
+            .filter(o -> o != h && o.entry.service().equals(service))
+            .map(o -> o.entry)
+            .toList();
+    return Optional.of(
+        new RangePlanner(targets, load(service, inputs)).newOwner(h.entry.range(), others));
+  }
+
+  /** Tells whether the owner's id runs another life, so that the owner itself has ended. */
+  private static boolean hasRestarted(Holding h, TargetDirectory directory) {
+    DiscoveredTarget now = directory.all().get(h.entry.owner().id());
+    return now != null && now.life().startedAt() > h.entry.owner().startedAt();
+  }
+
+  private void raiseFence(long now, Holding h) {
+    lastFence += FENCE_JUMP;
+    Holding raised = new Holding(h.entry.withFence(lastFence), now);
+    raised.heldUntil = h.heldUntil;
+    raised.unsettledUntil = h.unsettledUntil;
+    holdings.set(holdings.indexOf(h), raised);
+    mustWrite = true;
+  }
+
+  private void write(ImmutableList.Builder<RangeAction> actions) {
+    mustWrite = false;
+    RangeTable table =
+        RangeTable.of(version + 1, lastFence, holdings.stream().map(h -> h.entry).toList());
+    writing = table;
+    actions.add(new RangeAction.Write(table));
+  }
+
+  private @Nullable Holding find(RangeEntry entry) {
+    for (Holding h : holdings) {
+      if (h.entry.equals(entry)) {
+        return h;
+      }
+    }
+    return null;
+  }
+
+  /** Joins neighbouring entries of one owner; they get a new fence in any case. */
+  private static List<RangeEntry> merged(RangeTable stored) {
+    List<RangeEntry> result = new ArrayList<>();
+    for (RangeEntry e : stored.entries()) {
+      if (result.isEmpty() || !isNeighbour(result.get(result.size() - 1), e)) {
+        result.add(e);
+        continue;
+      }
+      RangeEntry last = result.remove(result.size() - 1);
+      KeyRange joined = new KeyRange(last.range().from(), e.range().to());
+      result.add(
+          new RangeEntry(e.service(), joined, e.owner(), e.address(), e.fence(), e.handover()));
+    }
+    return result;
+  }
+
+  private static boolean isNeighbour(RangeEntry before, RangeEntry after) {
+    return before.service().equals(after.service())
+        && before.owner().equals(after.owner())
+        && before.range().to() + 1 == after.range().from();
+  }
+
+  private static ServiceLoad load(String service, RangeInputs inputs) {
+    ServiceLoad load = inputs.loads().get(service);
+    return load == null ? ServiceLoad.even() : load;
+  }
+
+  private static long later(long a, long b) {
+    return a - b >= 0 ? a : b;
+  }
+}
--- a/daemon/src/main/java/org/cowslipmoor/daemon/caller/Refusals.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/caller/Refusals.java
@@ -7,10 +7,11 @@
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.MediaType;
 import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.ResponseHeadersBuilder;
 import org.cowslipmoor.core.request.ResultCode;
 
 /** Builds the answers that say why a request was not answered by a target. */
-final class Refusals {
+public final class Refusals {
   static final String RESULT = "cowslipmoor-result";
   static final String EFFECT = "cowslipmoor-effect";
 
@@ -18,17 +19,24 @@
 
   /** Returns the answer for a code. */
   static HttpResponse of(ResultCode code, String message) {
-    final ResponseHeaders headers =
-        ResponseHeaders.builder(HttpStatus.valueOf(code.httpStatus()))
-            .contentType(MediaType.JSON_UTF_8)
-            .add(RESULT, Integer.toString(code.number()))
-            .add(EFFECT, code.effect().text())
-            .build();
+    return HttpResponse.of(headers(code).build(), body(code, message));
+  }
+
+  /** Returns the headers of the answer for a code. */
+  public static ResponseHeadersBuilder headers(ResultCode code) {
+    return ResponseHeaders.builder(HttpStatus.valueOf(code.httpStatus()))
+        .contentType(MediaType.JSON_UTF_8)
+        .add(RESULT, Integer.toString(code.number()))
+        .add(EFFECT, code.effect().text());
+  }
+
+  /** Returns the body of the answer for a code. */
+  public static HttpData body(ResultCode code, String message) {
     ObjectNode body = JsonNodeFactory.instance.objectNode();
     body.put("code", code.number());
     body.put("name", code.name());
     body.put("effect", code.effect().text());
     body.put("message", message);
-    return HttpResponse.of(headers, HttpData.ofUtf8(body.toString()));
+    return HttpData.ofUtf8(body.toString());
   }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/Coordination.java
@@ -0,0 +1,253 @@
+package org.cowslipmoor.daemon.coordination;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.cowslipmoor.core.range.Leadership;
+import org.cowslipmoor.core.range.RangeAction;
+import org.cowslipmoor.core.range.RangeCoordinator;
+import org.cowslipmoor.core.range.RangeInputs;
+import org.cowslipmoor.core.range.RangeTable;
+import org.cowslipmoor.core.range.RangeTiming;
+import org.cowslipmoor.core.range.ServiceLoad;
+import org.cowslipmoor.core.routing.RoutingConfiguration;
+import org.cowslipmoor.core.routing.ServiceDescription;
+import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
+
+/**
+ * Carries out the decisions of {@link Leadership} and {@link RangeCoordinator}. Confined to the
+ * host's event loop.
+ */
+public final class Coordination {
+  private final SharedStore store;
+  private final TargetOrders orders;
+  private final Leadership leadership;
+  private final RangeTiming timing;
+  private final Supplier<StoreView> view;
+  private final Function<String, ServiceLoad> loads;
+  private final HostClock clock;
+  private @Nullable RangeCoordinator coordinator;
+  private boolean isReading;
+  private long tableRevision;
+
+  /**
+   * Creates the coordination of a host.
+   *
+   * @param view what the host last learned from the store
+   * @param loads measured load of a keyed service
+   */
+  public Coordination(
+      SharedStore store,
+      TargetOrders orders,
+      Leadership leadership,
+      RangeTiming timing,
+      Supplier<StoreView> view,
+      Function<String, ServiceLoad> loads) {
+    this.store = store;
+    this.orders = orders;
+    this.leadership = leadership;
+    this.timing = timing;
+    this.view = view;
+    this.loads = loads;
+    this.clock = new HostClock(System.nanoTime(), timeOfDay());
+  }
+
+  /** Does what is due; to be called every few tens of milliseconds. */
+  public void tick() {
+    long now = System.nanoTime();
+    checkSuspension(now);
+    leadership.onVacancy(now, view.get().configuration() != null && view.get().leader() == null);
+    leadership.tick(now).ifPresent(this::call);
+    if (leadership.lease() == null) {
+      coordinator = null;
+      return;
+    }
+    if (!leadership.leads(now)) {
+      return;
+    }
+    RangeCoordinator c = coordinator;
+    if (c == null) {
+      beginTenure();
+      return;
+    }
+    c.tick(now, inputs(now)).forEach(a -> perform(c, a));
+  }
+
+  /** Gives the coordination up, so that another host takes it over at once. */
+  public void resign() {
+    Optional<Leadership.Action> end = leadership.resign();
+    coordinator = null;
+    end.ifPresent(this::call);
+  }
+
+  /** Tells whether this host coordinates. */
+  public boolean isCoordinator() {
+    return coordinator != null;
+  }
+
+  private void checkSuspension(long now) {
+    if (clock.wasSuspended(now, timeOfDay())) {
+      Logger.warn("the process stood still; the lease is checked before anything is granted");
+      leadership.onSuspended(now);
+    }
+  }
+
+  private void call(Leadership.Action action) {
+    long sentAt = System.nanoTime();
+    switch (action) {
+      case Leadership.Action.Claim a -> store.claim().thenAccept(result -> onClaim(sentAt, result));
+      case Leadership.Action.Renew a ->
+          store.renew(a.lease()).thenAccept(result -> onRenewal(sentAt, result));
+      case Leadership.Action.End a -> {
+        Logger.info("gives up the coordination");
+        store.end(a.lease());
+      }
+    }
+  }
+
+  private void onClaim(long sentAt, SharedStore.ClaimResult result) {
+    Leadership.Lease lease = result.lease();
+    if (lease == null) {
+      leadership.onClaimFailed(System.nanoTime());
+      return;
+    }
+    Logger.info("coordinates from now on, lease {} term {}", lease.id(), lease.term());
+    leadership.onClaimed(sentAt, lease);
+  }
+
+  private void onRenewal(long sentAt, SharedStore.CallResult result) {
+    switch (result) {
+      case DONE -> leadership.onRenewed(sentAt);
+      case REFUSED -> {
+        Logger.warn("the coordinator's lease has ended in the store");
+        leadership.onLost(System.nanoTime());
+        coordinator = null;
+      }
+      case UNKNOWN -> leadership.onRenewalUnknown();
+      default -> throw new IllegalArgumentException("unknown result: " + result);
+    }
+  }
+
+  private void beginTenure() {
+    if (isReading) {
+      return;
+    }
+    isReading = true;
+    store
+        .readTable()
+        .thenAccept(
+            result -> {
+              isReading = false;
+              long now = System.nanoTime();
+              if (result.known() && leadership.leads(now)) {
+                tableRevision = result.revision();
+                coordinator = RangeCoordinator.begin(result.table(), timing, now);
+                Logger.info(
+                    "begins with table {} of {} ranges",
+                    result.table().version(),
+                    result.table().entries().size());
+              }
+            });
+  }
+
+  private RangeInputs inputs(long now) {
+    StoreView v = view.get();
+    RoutingConfiguration configuration = v.configuration();
+    ImmutableSet<String> services =
+        configuration == null
+            ? ImmutableSet.of()
+            : configuration.services().values().stream()
+                .filter(ServiceDescription::keyed)
+                .map(ServiceDescription::name)
+                .collect(ImmutableSet.toImmutableSet());
+    ImmutableMap<String, ServiceLoad> measured =
+        services.stream().collect(ImmutableMap.toImmutableMap(s -> s, loads));
+    return new RangeInputs(services, v.directory(), measured, leadership.isCertain(now));
+  }
+
+  private void perform(RangeCoordinator c, RangeAction action) {
+    switch (action) {
+      case RangeAction.Grant a ->
+          orders
+              .grant(a.entry(), a.holdNanos())
+              .thenAccept(
+                  outcome -> {
+                    Logger.debug("grant of {} ended as {}", a.entry(), outcome);
+                    c.onGrant(System.nanoTime(), a.entry(), outcome);
+                  });
+      case RangeAction.Release a ->
+          orders
+              .release(a.entry())
+              .thenAccept(
+                  released -> {
+                    Logger.info("release of {} done: {}", a.entry(), released.done());
+                    c.onRelease(System.nanoTime(), a.entry(), released.done(), released.handover());
+                  });
+      case RangeAction.Write a -> write(c, a.table());
+    }
+  }
+
+  private void write(RangeCoordinator c, RangeTable table) {
+    Leadership.Lease lease = leadership.lease();
+    if (lease == null) {
+      return;
+    }
+    store
+        .write(table, tableRevision, lease)
+        .thenAccept(
+            result -> {
+              switch (result.result()) {
+                case DONE -> {
+                  tableRevision = result.revision();
+                  Logger.info(
+                      "wrote table {} of {} ranges", table.version(), table.entries().size());
+                  c.onWritten(table);
+                }
+                case REFUSED -> endTenure(c, "another table is in the store");
+                case UNKNOWN -> resolve(c, table);
+                default -> throw new IllegalArgumentException("unknown result: " + result);
+              }
+            });
+  }
+
+  /** Finds out whether a table was written whose write got no answer. */
+  private void resolve(RangeCoordinator c, RangeTable table) {
+    if (coordinator != c) {
+      return;
+    }
+    store
+        .readTable()
+        .thenAccept(
+            found -> {
+              if (!found.known()) {
+                resolve(c, table);
+              } else if (isSame(found.table(), table)) {
+                tableRevision = found.revision();
+                c.onWritten(table);
+              } else if (found.revision() == tableRevision) {
+                c.onNotWritten();
+              } else {
+                endTenure(c, "another table was written meanwhile");
+              }
+            });
+  }
+
+  private void endTenure(RangeCoordinator c, String reason) {
+    Logger.warn("the state of the ranges is read again: {}", reason);
+    if (coordinator == c) {
+      coordinator = null;
+    }
+  }
+
+  private static boolean isSame(RangeTable a, RangeTable b) {
+    return a.version() == b.version() && a.entries().equals(b.entries());
+  }
+
+  private static long timeOfDay() {
+    return TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis());
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/StoreView.java
@@ -0,0 +1,29 @@
+package org.cowslipmoor.daemon.coordination;
+
+import org.cowslipmoor.core.discovery.TargetDirectory;
+import org.cowslipmoor.core.range.RangeTable;
+import org.cowslipmoor.core.routing.RoutingConfiguration;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What a host last learned from the shared store.
+ *
+ * @param configuration the newest accepted configuration; null before one is known
+ * @param directory the targets
+ * @param table who holds which keys
+ * @param tableRevision the store's mark of that table, for a conditional write; 0 when there is
+ *     none
+ * @param leader id of the host that coordinates; null when none does
+ */
+public record StoreView(
+    @Nullable RoutingConfiguration configuration,
+    TargetDirectory directory,
+    RangeTable table,
+    long tableRevision,
+    @Nullable String leader) {
+
+  /** Returns the view of a host that knows nothing. */
+  public static StoreView unknown() {
+    return new StoreView(null, TargetDirectory.empty(), RangeTable.empty(), 0, null);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/TargetOrders.java
@@ -0,0 +1,27 @@
+package org.cowslipmoor.daemon.coordination;
+
+import java.util.concurrent.CompletableFuture;
+import org.cowslipmoor.core.range.GrantOutcome;
+import org.cowslipmoor.core.range.RangeEntry;
+import org.jspecify.annotations.Nullable;
+
+/** Tells targets which keys they hold. The futures never fail. */
+public interface TargetOrders {
+
+  /**
+   * Grants the entry's keys to its owner for a time that counts from the grant's arrival. When the
+   * outcome is unknown, the connection has been closed, so that the grant can't arrive any more.
+   */
+  CompletableFuture<GrantOutcome> grant(RangeEntry entry, long holdNanos);
+
+  /** Takes the entry's keys back; completes when the work on them has ended. */
+  CompletableFuture<Released> release(RangeEntry entry);
+
+  /**
+   * The outcome of a release.
+   *
+   * @param done whether the target no longer holds the keys
+   * @param handover what it gives for the next owner; null when nothing
+   */
+  record Released(boolean done, @Nullable String handover) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
@@ -0,0 +1,147 @@
+package org.cowslipmoor.daemon.gateway;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.cowslipmoor.core.admission.TargetBook;
+import org.cowslipmoor.core.discovery.DiscoveredTarget;
+import org.cowslipmoor.core.discovery.TargetDirectory;
+import org.cowslipmoor.core.range.KeyLoadMeter;
+import org.cowslipmoor.core.range.RangeEntry;
+import org.cowslipmoor.core.request.RetryBudget;
+import org.cowslipmoor.core.routing.SplitSelector;
+import org.cowslipmoor.daemon.coordination.StoreView;
+import org.cowslipmoor.daemon.http.HttpConnections;
+
+/** What the requests of one host share. Confined to the host's event loop. */
+public final class Gateway {
+  /** Time for which a target that drains is still sent requests for the keys that it holds. */
+  private static final long DRAIN_NANOS = 1_200_000_000L;
+
+  private final Supplier<StoreView> view;
+  private final HttpConnections connections;
+  private final Dialect dialect;
+  private final TargetBook book;
+  private final SplitSelector splits;
+  private final KeyLoadMeter keyLoad;
+  private final MetricRegistry metrics;
+  private final RetryLimits retryLimits;
+  private final Map<String, RetryBudget> budgets = new HashMap<>();
+  private final Map<String, Long> drainingSince = new HashMap<>();
+  private boolean stopping;
+  private int inProgress;
+
+  /**
+   * Bounds this host's part of the retries to each service.
+   *
+   * @param share retries per request in the long run
+   * @param reserve most retries that may be saved up
+   */
+  public record RetryLimits(double share, double reserve) {}
+
+  /** Creates the shared state of a host's requests. */
+  public Gateway(
+      Supplier<StoreView> view,
+      HttpConnections connections,
+      Dialect dialect,
+      TargetBook book,
+      KeyLoadMeter keyLoad,
+      RetryLimits retryLimits,
+      RandomGenerator random,
+      MetricRegistry metrics) {
+    this.view = view;
+    this.connections = connections;
+    this.dialect = dialect;
+    this.book = book;
+    this.splits = SplitSelector.create(random);
+    this.keyLoad = keyLoad;
+    this.retryLimits = retryLimits;
+    this.metrics = metrics;
+  }
+
+  /** Takes what the store newly says. */
+  public void onView(StoreView newView, long now) {
+    Map<String, DiscoveredTarget> all = newView.directory().all();
+    book.retain(all.keySet());
+    drainingSince.keySet().retainAll(all.keySet());
+    for (DiscoveredTarget t : all.values()) {
+      if (t.draining()) {
+        drainingSince.putIfAbsent(t.id(), now);
+      } else {
+        drainingSince.remove(t.id());
+      }
+    }
+  }
+
+  /** Ends each connection of a caller with its next answer, since the host is about to stop. */
+  public void stop() {
+    stopping = true;
+  }
+
+  /** Returns the number of requests in progress. */
+  public int inProgress() {
+    return inProgress;
+  }
+
+  /**
+   * Returns the target that may be sent requests for a key; empty while no target holds it for
+   * sure.
+   */
+  Optional<DiscoveredTarget> owner(String service, int key, long now) {
+    StoreView v = view.get();
+    TargetDirectory directory = v.directory();
+    return v.table()
+        .find(service, key)
+        .map(RangeEntry::owner)
+        .flatMap(directory::find)
+        .filter(t -> !t.draining() || now - drainingSince.getOrDefault(t.id(), now) < DRAIN_NANOS);
+  }
+
+  void begin() {
+    inProgress++;
+  }
+
+  void end() {
+    inProgress--;
+  }
+
+  boolean isStopping() {
+    return stopping;
+  }
+
+  StoreView view() {
+    return view.get();
+  }
+
+  HttpConnections connections() {
+    return connections;
+  }
+
+  Dialect dialect() {
+    return dialect;
+  }
+
+  TargetBook book() {
+    return book;
+  }
+
+  SplitSelector splits() {
+    return splits;
+  }
+
+  KeyLoadMeter keyLoad() {
+    return keyLoad;
+  }
+
+  RetryBudget budget(String service) {
+    return budgets.computeIfAbsent(
+        service, unused -> RetryBudget.of(retryLimits.share(), retryLimits.reserve()));
+  }
+
+  void count(String name) {
+    metrics.counter(name).inc();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
@@ -0,0 +1,395 @@
+package org.cowslipmoor.daemon.gateway;
+
+import com.google.common.base.Ascii;
+import com.linecorp.armeria.common.HttpHeaderNames;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponseWriter;
+import com.linecorp.armeria.common.ResponseHeadersBuilder;
+import com.linecorp.armeria.server.ServiceRequestContext;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+import org.cowslipmoor.core.admission.Placement;
+import org.cowslipmoor.core.admission.RequestNeeds;
+import org.cowslipmoor.core.discovery.DiscoveredTarget;
+import org.cowslipmoor.core.range.ServiceLoad;
+import org.cowslipmoor.core.request.ResultCode;
+import org.cowslipmoor.core.routing.RouteRule;
+import org.cowslipmoor.core.routing.RoutingConfiguration;
+import org.cowslipmoor.core.routing.ServiceDescription;
+import org.cowslipmoor.daemon.caller.Refusals;
+import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
+
+/** Takes one caller's request through its attempts to its answer or refusal. Used once. */
+final class GatewayExchange implements RequestBody.Listener {
+  private static final long MS = 1_000_000L;
+
+  /** Longest time that a request waits for the owner of its key to settle. */
+  private static final long OWNER_WAIT = 400 * MS;
+
+  private static final long OWNER_CHECK = 20 * MS;
+  private static final long RESEND_DELAY = 60 * MS;
+
+  /** Time after which a caller may find that a key has an owner again. */
+  private static final long OWNER_RETRY = 300 * MS;
+
+  private static final long START_RETRY = 500 * MS;
+
+  private final Gateway gateway;
+  private final ServiceRequestContext ctx;
+  private final HttpRequest request;
+  private final HttpResponseWriter writer;
+  private final long startedAt = System.nanoTime();
+  private final Set<String> triedTargets = new HashSet<>();
+  private @Nullable CallerHead head;
+  private @Nullable RouteRule rule;
+  private String service = "";
+  private String requestId = "";
+  private @Nullable RequestBody body;
+  private @Nullable Attempt attempt;
+  private @Nullable ScheduledFuture<?> deadlineTimer;
+  private long deadlineAt;
+  private long objectiveAt;
+  private long ownerWaitUntil;
+  private boolean mayHaveRun;
+  private boolean retryGranted;
+  private boolean over;
+
+  GatewayExchange(
+      Gateway gateway, ServiceRequestContext ctx, HttpRequest request, HttpResponseWriter writer) {
+    this.gateway = gateway;
+    this.ctx = ctx;
+    this.request = request;
+    this.writer = writer;
+  }
+
+  void start() {
+    gateway.begin();
+    if (gateway.isStopping()) {
+      ctx.initiateConnectionShutdown();
+    }
+    writer
+        .whenComplete()
+        .handle(
+            (unused, error) -> {
+              onWriterDone(error);
+              return null;
+            });
+    RoutingConfiguration configuration = gateway.view().configuration();
+    if (configuration == null) {
+      refuse(ResultCode.NO_CONFIGURATION, "no configuration is known yet", START_RETRY);
+      return;
+    }
+    try {
+      head = gateway.dialect().readCaller(request.headers());
+    } catch (IllegalArgumentException e) {
+      refuse(ResultCode.MALFORMED_REQUEST, String.valueOf(e.getMessage()), 0);
+      return;
+    }
+    Optional<RouteRule> found = configuration.find(host(), ctx.rawPath());
+    if (found.isEmpty()) {
+      refuse(ResultCode.UNKNOWN_ROUTE, "no route matches", 0);
+      return;
+    }
+    begin(configuration, found.get(), head);
+  }
+
+  private void begin(RoutingConfiguration configuration, RouteRule found, CallerHead told) {
+    rule = found;
+    service = gateway.splits().next(found);
+    requestId = told.requestId() == null ? UUID.randomUUID().toString() : told.requestId();
+    long wait = found.timeoutMillis();
+    if (told.deadlineMillis() != null) {
+      wait = Math.min(wait, told.deadlineMillis());
+    }
+    deadlineAt = startedAt + wait * MS;
+    objectiveAt = startedAt + found.objectiveMillis() * MS;
+    deadlineTimer =
+        ctx.eventLoop().withoutContext().schedule(this::onDeadline, wait, TimeUnit.MILLISECONDS);
+    gateway.budget(service).onRequest();
+    ServiceDescription description = configuration.services().get(service);
+    if (description != null && description.keyed() && told.key() != null) {
+      gateway.keyLoad().count(service, ServiceLoad.bucket(told.key()), 1, startedAt);
+    }
+    RequestBody b = new RequestBody(configuration.limits().bodyBytes(), this);
+    body = b;
+    b.read(request, ctx.eventLoop().withoutContext());
+  }
+
+  @Override
+  public void onReady() {
+    place();
+  }
+
+  @Override
+  public void onTooLong() {
+    if (attempt != null) {
+      breakOff();
+    } else {
+      refuse(ResultCode.BODY_TOO_LARGE, "the body is longer than allowed", 0);
+    }
+  }
+
+  @Override
+  public void onBroken() {
+    breakOff();
+  }
+
+  private void place() {
+    if (over) {
+      return;
+    }
+    long now = System.nanoTime();
+    RouteRule r = rule();
+    RequestNeeds needs = new RequestNeeds(objectiveAt - now, deadlineAt - now, r.priority());
+    Integer key = head == null ? null : head.key();
+    ServiceDescription description = description();
+    if (description != null && description.keyed() && key != null) {
+      placeWithOwner(now, needs, key);
+      return;
+    }
+    Placement placement =
+        gateway.book().place(gateway.view().directory().usable(service), triedTargets, needs, now);
+    send(placement);
+  }
+
+  private void placeWithOwner(long now, RequestNeeds needs, int key) {
+    Optional<DiscoveredTarget> owner = gateway.owner(service, key, now);
+    if (owner.isPresent()) {
+      send(gateway.book().admit(owner.get(), needs, now));
+    } else {
+      awaitOwner(now);
+    }
+  }
+
+  private void awaitOwner(long now) {
+    if (ownerWaitUntil == 0) {
+      ownerWaitUntil = now + Math.min(OWNER_WAIT, (objectiveAt - startedAt) / 2);
+    }
+    if (now - ownerWaitUntil >= 0) {
+      refuse(ResultCode.OWNER_UNKNOWN, "the key has no owner at present", OWNER_RETRY);
+    } else {
+      later(OWNER_CHECK);
+    }
+  }
+
+  private void later(long delay) {
+    ctx.eventLoop().withoutContext().schedule(this::place, delay, TimeUnit.NANOSECONDS);
+  }
+
+  private void send(Placement placement) {
+    switch (placement) {
+      case Placement.Send p -> {
+        triedTargets.add(p.target().id());
+        attempt = new Attempt(this, gateway, p.target(), p.expectedNanos());
+        attempt.start();
+      }
+      case Placement.Refuse p ->
+          refuse(ResultCode.OVERLOADED, "no target can answer in time", p.retryNanos());
+      case Placement.NoTarget p ->
+          refuse(ResultCode.NO_TARGET, "the service has no usable target", OWNER_RETRY);
+    }
+  }
+
+  /** Takes the end of an attempt without an answer that is passed on. */
+  void onAttemptFailed(Attempt failed) {
+    attempt = null;
+    mayHaveRun |= failed.mayHaveRun();
+    if (over) {
+      return;
+    }
+    long now = System.nanoTime();
+    if (mayRetry(failed, now)) {
+      retryGranted = false;
+      gateway.count("retries");
+      if (failed.isMisdirected()) {
+        ownerWaitUntil = ownerWaitUntil == 0 ? now + OWNER_WAIT : ownerWaitUntil;
+        later(RESEND_DELAY);
+      } else {
+        place();
+      }
+      return;
+    }
+    if (mayHaveRun) {
+      refuse(ResultCode.TARGET_FAILED, "the target did not answer: " + failed.outcome(), 0);
+    } else {
+      refuse(ResultCode.TARGET_REFUSED, "not run: " + failed.outcome(), failed.retryNanos());
+    }
+  }
+
+  /** Tells whether the request is to be sent again, and if so takes that from the budget, once. */
+  boolean mayRetry(Attempt failed, long now) {
+    retryGranted =
+        retryGranted || (isRetryUseful(failed, now) && gateway.budget(service).tryRetry());
+    return retryGranted;
+  }
+
+  private boolean isRetryUseful(Attempt failed, long now) {
+    RouteRule r = rule();
+    boolean allowed = !failed.mayHaveRun() || r.kind().isRepeatable();
+    RequestBody b = body;
+    boolean keyed = isKeyed();
+    boolean more = keyed || triedTargets.size() < r.attempts();
+    boolean misdirectedTooLong =
+        failed.isMisdirected() && ownerWaitUntil != 0 && now - ownerWaitUntil >= 0;
+    return allowed
+        && more
+        && !misdirectedTooLong
+        && (!keyed || failed.isMisdirected() || failed.mayHaveRun())
+        && b != null
+        && b.isRepeatable()
+        && deadlineAt - now > failed.expectedNanos() / 2;
+  }
+
+  /** Tells whether a further attempt would be possible if this one fails. */
+  boolean hasSpareAttempt() {
+    RequestBody b = body;
+    return rule().kind().isRepeatable()
+        && b != null
+        && b.isRepeatable()
+        && (isKeyed() || triedTargets.size() < rule().attempts());
+  }
+
+  /** Takes the end of the answer that was passed on. */
+  void onAnswered() {
+    gateway.count("answers");
+    finish();
+  }
+
+  /** Takes the news that the answer that was passed on broke off. */
+  void onAnswerCut() {
+    gateway.count("answers.cut");
+    finish();
+  }
+
+  private void onDeadline() {
+    if (over) {
+      return;
+    }
+    Attempt running = attempt;
+    if (running != null && running.hasAnswerBegun()) {
+      running.cancel();
+      finish();
+      writer.close(new IllegalStateException("the deadline passed before the answer's end"));
+      return;
+    }
+    mayHaveRun |= running != null && running.mayHaveRun();
+    if (running != null) {
+      running.cancelLate();
+    }
+    refuse(
+        mayHaveRun ? ResultCode.DEADLINE_PASSED : ResultCode.DEADLINE_NOT_MET,
+        "the deadline passed",
+        0);
+  }
+
+  private void onWriterDone(@Nullable Throwable error) {
+    if (over) {
+      return;
+    }
+    if (error != null) {
+      gateway.count("callers.gone");
+    }
+    breakOff();
+  }
+
+  private void breakOff() {
+    if (over) {
+      return;
+    }
+    if (attempt != null) {
+      attempt.cancel();
+    }
+    finish();
+    writer.close(new IllegalStateException("the caller broke its request off"));
+  }
+
+  private void refuse(ResultCode code, String reason, long retryNanos) {
+    if (over) {
+      return;
+    }
+    // A repeatable request may have run in an earlier attempt: "not run" would not be true.
+    boolean unknown = mayHaveRun && code.effect() == ResultCode.Effect.NOT_RUN;
+    ResultCode told = unknown ? ResultCode.TARGET_FAILED : code;
+    gateway.count("refusals." + told.number());
+    Logger.debug("request {} to {} is refused with {}: {}", requestId, service, told, reason);
+    finish();
+    ResponseHeadersBuilder headers = Refusals.headers(told);
+    if (retryNanos > 0 && told.effect() == ResultCode.Effect.NOT_RUN) {
+      headers.set(HttpHeaderNames.RETRY_AFTER, seconds(retryNanos));
+    }
+    writer.write(headers.build());
+    writer.write(Refusals.body(told, reason));
+    writer.close();
+  }
+
+  private void finish() {
+    over = true;
+    gateway.end();
+    if (deadlineTimer != null) {
+      deadlineTimer.cancel(false);
+    }
+    if (body != null) {
+      body.cancel();
+    }
+  }
+
+  private static String seconds(long nanos) {
+    return String.format(Locale.ROOT, "%.3f", nanos / 1e9);
+  }
+
+  private String host() {
+    String authority = request.authority() == null ? "" : request.authority();
+    int port = authority.lastIndexOf(':');
+    return Ascii.toLowerCase(port < 0 ? authority : authority.substring(0, port));
+  }
+
+  private @Nullable ServiceDescription description() {
+    RoutingConfiguration c = gateway.view().configuration();
+    return c == null ? null : c.services().get(service);
+  }
+
+  private boolean isKeyed() {
+    ServiceDescription description = description();
+    return description != null && description.keyed() && head != null && head.key() != null;
+  }
+
+  private RouteRule rule() {
+    if (rule == null) {
+      throw new IllegalStateException("the request has no route yet");
+    }
+    return rule;
+  }
+
+  ServiceRequestContext ctx() {
+    return ctx;
+  }
+
+  HttpRequest request() {
+    return request;
+  }
+
+  HttpResponseWriter writer() {
+    return writer;
+  }
+
+  String requestId() {
+    return requestId;
+  }
+
+  long deadlineAt() {
+    return deadlineAt;
+  }
+
+  RequestBody body() {
+    if (body == null) {
+      throw new IllegalStateException("the request's body is not read yet");
+    }
+    return body;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -0,0 +1,214 @@
+package org.cowslipmoor.daemon.gateway;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.net.HostAndPort;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.server.Server;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.random.RandomGenerator;
+import org.cowslipmoor.core.admission.TargetBook;
+import org.cowslipmoor.core.range.KeyLoadMeter;
+import org.cowslipmoor.core.range.Leadership;
+import org.cowslipmoor.core.range.RangeTiming;
+import org.cowslipmoor.core.range.ServiceLoad;
+import org.cowslipmoor.daemon.coordination.Coordination;
+import org.cowslipmoor.daemon.coordination.SharedStore;
+import org.cowslipmoor.daemon.coordination.StoreView;
+import org.cowslipmoor.daemon.coordination.TargetOrders;
+import org.cowslipmoor.daemon.http.HttpConnections;
+import org.tinylog.Logger;
+
+/**
+ * A running host that routes by the configuration of a shared store. Its tables are confined to one
+ * event loop, since a host has one core.
+ */
+public final class GatewayHost {
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
+
+  /** Longest time that an unused connection to a target is kept when the target tells nothing. */
+  private static final Duration IDLE_LIMIT = Duration.ofSeconds(4);
+
+  private static final Duration CALLER_IDLE_LIMIT = Duration.ofSeconds(60);
+  private static final long TICK_MS = 50;
+  private static final long CLEANING_MS = 1_000;
+
+  /** Hosts that share the retries and the targets' connections, at most. */
+  private static final int LARGEST_FLEET = 26;
+
+  /** Part of the shared retries that the hosts use, as a reserve for those at a window's edge. */
+  private static final double RETRY_PART = 0.7;
+
+  /** Most requests of one host at one target. */
+  private static final int CONNECTION_SHARE = 8;
+
+  /** Time for which the balancer may still send new connections to a host that is not ready. */
+  private static final long BALANCER_LAG_MS = 2_800;
+
+  /** Part of the grace that is left for the end of the process. */
+  private static final long END_MS = 500;
+
+  private final GatewaySettings settings;
+  private final EventLoop loop;
+  private final Gateway gateway;
+  private final Coordination coordination;
+  private final KeyLoadMeter keyLoad;
+  private final TargetBook book;
+  private final Server server;
+  private StoreView view = StoreView.unknown();
+  private volatile boolean ready;
+  private boolean stopping;
+
+  private GatewayHost(
+      GatewaySettings settings,
+      EventLoopGroup group,
+      EventLoop loop,
+      SharedStore store,
+      TargetOrders orders,
+      Dialect dialect,
+      RandomGenerator random) {
+    this.settings = settings;
+    this.loop = loop;
+    final long now = System.nanoTime();
+    MetricRegistry metrics = new MetricRegistry();
+    HttpConnections connections = new HttpConnections(loop, CONNECT_TIMEOUT, IDLE_LIMIT);
+    book = TargetBook.create(settings.dataCentre(), CONNECTION_SHARE, random);
+    keyLoad = KeyLoadMeter.create(now);
+    Gateway.RetryLimits limits =
+        new Gateway.RetryLimits(
+            settings.retryShare() * RETRY_PART,
+            Math.max(1, settings.retryReserve() * RETRY_PART / LARGEST_FLEET));
+    gateway = new Gateway(() -> view, connections, dialect, book, keyLoad, limits, random, metrics);
+    coordination =
+        new Coordination(
+            store,
+            orders,
+            Leadership.create(settings.leaseMillis(), random),
+            RangeTiming.standard(settings.longestHoldMillis()),
+            () -> view,
+            this::load);
+    server = server(group);
+    loop.execute(() -> store.follow(this::onView));
+    loop.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    loop.scheduleWithFixedDelay(
+        connections::closeStale, CLEANING_MS, CLEANING_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Starts a host; its tables and the store's and targets' calls are confined to {@code loop}. */
+  public static GatewayHost start(
+      GatewaySettings settings,
+      EventLoopGroup group,
+      EventLoop loop,
+      SharedStore store,
+      TargetOrders orders,
+      Dialect dialect,
+      RandomGenerator random) {
+    GatewayHost host = new GatewayHost(settings, group, loop, store, orders, dialect, random);
+    host.server.start().join();
+    Logger.info(
+        "host {} of {} serves callers on {}",
+        settings.host(),
+        settings.dataCentre(),
+        settings.callerAddress());
+    return host;
+  }
+
+  /**
+   * Stops the host as planned: ends readiness, hands the coordination over, serves what the
+   * balancer and open connections still bring, and returns when nothing is in progress, or shortly
+   * before the grace ends.
+   */
+  public void stop() {
+    final long began = System.nanoTime();
+    Logger.info("stopping");
+    ready = false;
+    loop.execute(
+        () -> {
+          stopping = true;
+          gateway.stop();
+          coordination.resign();
+        });
+    CompletableFuture<Void> idle = new CompletableFuture<>();
+    loop.schedule(() -> completeWhenIdle(idle), BALANCER_LAG_MS, TimeUnit.MILLISECONDS);
+    long limit = settings.graceMillis() - END_MS;
+    try {
+      idle.get(limit, TimeUnit.MILLISECONDS);
+    } catch (TimeoutException e) {
+      Logger.warn("requests are still in progress at the end of the grace");
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (ExecutionException e) {
+      throw new IllegalStateException(e);
+    }
+    Logger.info("stopped after {} ms", (System.nanoTime() - began) / 1_000_000);
+  }
+
+  private void completeWhenIdle(CompletableFuture<Void> idle) {
+    if (gateway.inProgress() == 0) {
+      idle.complete(null);
+    } else {
+      loop.schedule(() -> completeWhenIdle(idle), TICK_MS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void onView(StoreView newView) {
+    view = newView;
+    gateway.onView(newView, System.nanoTime());
+    ready = newView.configuration() != null && !stopping;
+  }
+
+  private void tick() {
+    try {
+      coordination.tick();
+    } catch (RuntimeException e) {
+      Logger.error(e, "the coordination failed");
+    }
+  }
+
+  private ServiceLoad load(String service) {
+    double[] weights = keyLoad.weights(service, System.nanoTime());
+    return new ServiceLoad(weights, ImmutableMap.of());
+  }
+
+  private Server server(EventLoopGroup group) {
+    InetSocketAddress readyAddress = address(settings.readyAddress());
+    GatewayService service = new GatewayService(gateway);
+    return Server.builder()
+        .http(address(settings.callerAddress()))
+        .http(readyAddress)
+        .workerGroup(group, false)
+        .serviceUnder(
+            "/",
+            (ctx, request) ->
+                ctx.localAddress().getPort() == readyAddress.getPort()
+                    ? answerBalancer(request)
+                    : service.serve(ctx, request))
+        .requestTimeoutMillis(0)
+        .maxRequestLength(0)
+        .idleTimeout(CALLER_IDLE_LIMIT)
+        .disableServerHeader()
+        .disableDateHeader()
+        .build();
+  }
+
+  private HttpResponse answerBalancer(HttpRequest request) {
+    if (!request.path().equals(settings.readyPath())) {
+      return HttpResponse.of(HttpStatus.NOT_FOUND);
+    }
+    return HttpResponse.of(ready ? HttpStatus.OK : HttpStatus.SERVICE_UNAVAILABLE);
+  }
+
+  private static InetSocketAddress address(String text) {
+    HostAndPort address = HostAndPort.fromString(text);
+    return new InetSocketAddress(address.getHost(), address.getPort());
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnection.java
@@ -0,0 +1,209 @@
+package org.cowslipmoor.daemon.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
+
+/** A connection to one address; carries one exchange at a time. Confined to its event loop. */
+final class HttpConnection extends ChannelInboundHandlerAdapter {
+  private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout\\s*=\\s*(\\d{1,6})");
+
+  /** Time by which a connection is given up before the other side would close it. */
+  private static final long CLOSE_RACE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+  private final String address;
+  private final Channel channel;
+  private final BiConsumer<HttpConnection, Boolean> whenFree;
+  private @Nullable Exchange current;
+  private boolean headSeen;
+  private boolean skipping;
+  private boolean reusable = true;
+  private boolean freed;
+  private long idleLimitNanos;
+  private long idleSince;
+
+  /** Creates a connection; {@code whenFree} is told whether it may carry another exchange. */
+  HttpConnection(
+      String address,
+      Channel channel,
+      long idleLimitNanos,
+      BiConsumer<HttpConnection, Boolean> whenFree) {
+    this.address = address;
+    this.channel = channel;
+    this.idleLimitNanos = idleLimitNanos;
+    this.whenFree = whenFree;
+    this.idleSince = System.nanoTime();
+  }
+
+  String address() {
+    return address;
+  }
+
+  void start(Exchange exchange) {
+    current = exchange;
+    headSeen = false;
+    freed = false;
+    exchange.begin(this);
+    channel.flush();
+  }
+
+  ChannelFuture write(Object message) {
+    return channel.writeAndFlush(message);
+  }
+
+  void setReading(boolean reading) {
+    channel.config().setAutoRead(reading);
+  }
+
+  void close() {
+    reusable = false;
+    channel.close();
+  }
+
+  /** Tells whether the connection may still be used, having been idle since its last exchange. */
+  boolean isFresh(long now) {
+    return reusable && channel.isActive() && now - idleSince < idleLimitNanos;
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object message) {
+    try {
+      if (message instanceof HttpResponse head) {
+        onHead(head);
+      }
+      if (message instanceof HttpContent content) {
+        onContent(content);
+      }
+    } finally {
+      ReferenceCountUtil.release(message);
+    }
+  }
+
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) {
+    // Given back only now: bytes after the answer, read together with it, spoil the connection.
+    if (current == null && !freed) {
+      free(reusable);
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    Logger.debug("connection to {} failed: {}", address, cause.toString());
+    fail(headSeen ? ExchangeFailure.ANSWER_CUT : ExchangeFailure.NO_ANSWER);
+    close();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    reusable = false;
+    fail(headSeen ? ExchangeFailure.ANSWER_CUT : ExchangeFailure.NO_ANSWER);
+    if (!freed) {
+      free(false);
+    }
+  }
+
+  private void onHead(HttpResponse head) {
+    Exchange exchange = current;
+    if (exchange == null || !head.decoderResult().isSuccess()) {
+      Logger.warn("connection to {} delivered bytes that answer no request; closing it", address);
+      fail(ExchangeFailure.MALFORMED);
+      close();
+      return;
+    }
+    if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+      skipping = true;
+      return;
+    }
+    if (!HttpUtil.isKeepAlive(head)) {
+      reusable = false;
+    }
+    noteIdleLimit(head);
+    if (exchange.isOver()) {
+      skipping = true;
+      reusable = false;
+    } else if (exchange.listener().onHead(head)) {
+      headSeen = true;
+    } else {
+      Logger.warn("connection to {} delivered an answer to another request", address);
+      skipping = true;
+      reusable = false;
+    }
+  }
+
+  private void onContent(HttpContent content) {
+    Exchange exchange = current;
+    if (exchange == null) {
+      return;
+    }
+    if (!content.decoderResult().isSuccess()) {
+      fail(ExchangeFailure.MALFORMED);
+      close();
+      return;
+    }
+    boolean last = content instanceof LastHttpContent;
+    if (skipping) {
+      skipping = !last;
+      return;
+    }
+    if (!headSeen) {
+      return;
+    }
+    ByteBuf data = content.content();
+    if (data.isReadable() && !exchange.isOver()) {
+      exchange.listener().onData(data);
+    }
+    if (last) {
+      current = null;
+      // The rest of a request body that is still being written would be taken for a new request.
+      reusable &= exchange.hasBodyEnded() && !exchange.isOver();
+      idleSince = System.nanoTime();
+      exchange.succeed();
+    }
+  }
+
+  private void noteIdleLimit(HttpResponse head) {
+    String value = head.headers().get(HttpHeaderNames.KEEP_ALIVE);
+    if (value == null) {
+      return;
+    }
+    Matcher m = KEEP_ALIVE_TIMEOUT.matcher(value);
+    if (m.find()) {
+      long announced = TimeUnit.SECONDS.toNanos(Long.parseLong(m.group(1)));
+      idleLimitNanos = Math.max(0, announced - CLOSE_RACE_NANOS);
+    }
+  }
+
+  private void fail(ExchangeFailure failure) {
+    Exchange exchange = current;
+    current = null;
+    reusable = false;
+    if (exchange != null) {
+      exchange.fail(failure);
+    }
+  }
+
+  private void free(boolean mayBeReused) {
+    freed = true;
+    channel.config().setAutoRead(true);
+    if (!mayBeReused) {
+      channel.close();
+    }
+    whenFree.accept(this, mayBeReused);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnections.java
@@ -0,0 +1,162 @@
+package org.cowslipmoor.daemon.http;
+
+import com.google.common.net.HostAndPort;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequest;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import jdk.net.ExtendedSocketOptions;
+import org.jspecify.annotations.Nullable;
+
+/** Keeps connections to any number of addresses. Confined to one event loop. */
+public final class HttpConnections {
+  private static final int MAX_HEAD_BYTES = 65_536;
+
+  /** Seconds without traffic after which a connection is probed, and between probes. */
+  private static final int PROBE_SECONDS = 1;
+
+  /** Probes without an answer after which a connection is taken to be dead. */
+  private static final int PROBES = 2;
+
+  private final EventLoop loop;
+  private final Bootstrap bootstrap;
+  private final long idleLimitNanos;
+  private final Map<String, Deque<HttpConnection>> idle = new HashMap<>();
+
+  /**
+   * Creates an empty set of connections.
+   *
+   * @param loop the event loop that all calls are made on
+   * @param connectTimeout longest time for a connection to be established
+   * @param idleLimit longest time that an unused connection is kept, unless the other side tells
+   */
+  public HttpConnections(EventLoop loop, Duration connectTimeout, Duration idleLimit) {
+    this.loop = loop;
+    this.idleLimitNanos = idleLimit.toNanos();
+    this.bootstrap =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.SO_KEEPALIVE, true)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), PROBE_SECONDS)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_SECONDS)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBES)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis())
+            .handler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel ch) {
+                    // The handlers depend on the address and are added once it is connected.
+                  }
+                });
+  }
+
+  /**
+   * Starts an exchange on an idle connection or a new one.
+   *
+   * @param address where to, as {@code ip:port}
+   * @param head the request's head; the body follows by {@link Exchange#write}
+   */
+  public Exchange start(String address, HttpRequest head, ExchangeListener listener) {
+    Exchange exchange = new Exchange(head, listener);
+    HttpConnection kept = takeIdle(address);
+    if (kept != null) {
+      kept.start(exchange);
+    } else {
+      connect(address, exchange);
+    }
+    return exchange;
+  }
+
+  /** Closes the idle connections to an address. */
+  public void forget(String address) {
+    Deque<HttpConnection> kept = idle.remove(address);
+    if (kept != null) {
+      kept.forEach(HttpConnection::close);
+    }
+  }
+
+  /** Closes all idle connections that have been unused for too long. */
+  public void closeStale() {
+    long now = System.nanoTime();
+    for (Deque<HttpConnection> kept : idle.values()) {
+      kept.removeIf(
+          c -> {
+            boolean stale = !c.isFresh(now);
+            if (stale) {
+              c.close();
+            }
+            return stale;
+          });
+    }
+    idle.values().removeIf(Deque::isEmpty);
+  }
+
+  private @Nullable HttpConnection takeIdle(String address) {
+    Deque<HttpConnection> kept = idle.get(address);
+    long now = System.nanoTime();
+    while (kept != null && !kept.isEmpty()) {
+      HttpConnection c = kept.removeLast();
+      if (c.isFresh(now)) {
+        return c;
+      }
+      c.close();
+    }
+    return null;
+  }
+
+  private void connect(String address, Exchange exchange) {
+    HostAndPort to = HostAndPort.fromString(address);
+    ChannelFuture connecting = bootstrap.connect(new InetSocketAddress(to.getHost(), to.getPort()));
+    connecting.addListener(
+        unused -> {
+          if (!connecting.isSuccess()) {
+            exchange.fail(ExchangeFailure.NOT_SENT);
+            return;
+          }
+          Channel channel = connecting.channel();
+          HttpConnection c = new HttpConnection(address, channel, idleLimitNanos, this::onFree);
+          channel
+              .pipeline()
+              .addLast(
+                  new HttpClientCodec(
+                      new HttpDecoderConfig().setMaxHeaderSize(MAX_HEAD_BYTES), false, false))
+              .addLast(c);
+          if (exchange.isOver()) {
+            onFree(c, true);
+          } else {
+            c.start(exchange);
+          }
+        });
+  }
+
+  private void onFree(HttpConnection c, boolean mayBeReused) {
+    if (mayBeReused) {
+      idle.computeIfAbsent(c.address(), unused -> new ArrayDeque<>()).addLast(c);
+    } else {
+      Deque<HttpConnection> kept = idle.get(c.address());
+      if (kept != null) {
+        kept.remove(c);
+      }
+    }
+  }
+
+  /** Returns the event loop that all calls are made on. */
+  public EventLoop loop() {
+    return loop;
+  }
+}
