Share load between hosts by way of the coordinator, and reset what is cancelled

(2) LOST: an attempt was given up for one that then found no place. (3) Each host guessed the load of a target from its own requests, and the coordinator placed ranges by a twentieth of the traffic. Ruled out: two coordinators at once (one wrote all tables of the trace). Change: cancelled exchanges reset their connection; an attempt is replaced only when the next has a place; hosts report to the coordinator five times a second and get the sums and the moving ranges back; the coordinator passes the store's news to hosts that lack them.

--- a/core/src/main/java/org/cowslipmoor/core/admission/TargetBook.java
+++ b/core/src/main/java/org/cowslipmoor/core/admission/TargetBook.java
@@ -10,6 +10,8 @@
 import java.util.random.RandomGenerator;
 import org.cowslipmoor.core.balance.TargetHealth;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
+import org.cowslipmoor.core.fleet.FleetState;
+import org.cowslipmoor.core.fleet.HostReport;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -36,6 +38,9 @@
   /** Time in which what a target told of its load loses most of its meaning. */
   private static final double REPORT_AGE_NANOS = 1_000 * MS;
 
+  /** Time after which the sums of all hosts no longer count. */
+  private static final long FLEET_LIFETIME = 1_500 * MS;
+
   /** Requests that may wait at a target for each of its slots. */
   private static final double QUEUE_PER_SLOT = 2;
 
@@ -113,8 +118,7 @@
     double expected = queue + serviceNanos(target);
     double share = needs.priority() <= 1 ? URGENT_SHARE : USUAL_SHARE;
     boolean late = queue > 0 && expected > needs.objectiveNanos() * share;
-    boolean hopeless = queue > 0 && expected > needs.deadlineNanos();
-    if (!hasRoom(target, now) || late || hopeless) {
+    if (!hasRoom(target, now) || late) {
       return new Placement.Refuse(retry(List.of(target), now));
     }
     return new Placement.Send(target, (long) expected);
@@ -141,6 +145,8 @@
     s.inFlight--;
     double service = Math.max(MS, elapsed - s.queueAtSend);
     s.learnService(service);
+    s.newAnswers++;
+    s.newServiceNanos += (long) service;
     ServiceMeans m = means(target.service());
     m.service += NEW_SHARE * (service - m.service);
     m.bytes += NEW_SHARE * (bytes - m.bytes);
@@ -170,16 +176,33 @@
     return s == null ? 0 : s.inFlight;
   }
 
-  /** Returns the smoothed service time of each target that has answered, in nanoseconds, by id. */
-  public ImmutableMap<String, Double> serviceTimes() {
-    ImmutableMap.Builder<String, Double> all = ImmutableMap.builder();
+  /** Returns what was seen of each target since the last call. */
+  public ImmutableMap<String, HostReport.TargetSample> drainSamples() {
+    ImmutableMap.Builder<String, HostReport.TargetSample> samples = ImmutableMap.builder();
     seen.forEach(
         (id, s) -> {
-          if (s.answers > 0) {
-            all.put(id, s.service);
+          s.reportedInFlight = s.inFlight;
+          if (s.inFlight > 0 || s.newAnswers > 0) {
+            samples.put(
+                id, new HostReport.TargetSample(s.inFlight, s.newAnswers, s.newServiceNanos));
           }
+          s.newAnswers = 0;
+          s.newServiceNanos = 0;
         });
-    return all.buildOrThrow();
+    return samples.buildOrThrow();
+  }
+
+  /** Takes what all hosts together have seen. */
+  public void onFleet(FleetState fleet, long now) {
+    fleet
+        .targets()
+        .forEach(
+            (id, t) -> {
+              Seen s = seen.computeIfAbsent(id, unused -> new Seen());
+              s.fleetOthers = Math.max(0, t.inFlight() - s.reportedInFlight);
+              s.fleetServiceNanos = t.serviceNanos();
+              s.fleetAt = now;
+            });
   }
 
   /** Forgets the targets that are not listed, unless they still have requests. */
@@ -191,6 +214,9 @@
   double serviceNanos(DiscoveredTarget target) {
     ServiceMeans m = means(target.service());
     Seen s = of(target);
+    if (s.fleetServiceNanos > 0) {
+      return s.fleetServiceNanos;
+    }
     double own = s.answers / (s.answers + PRIOR_ANSWERS);
     return own * s.service + (1 - own) * m.service;
   }
@@ -214,6 +240,9 @@
 
   private double load(DiscoveredTarget target, long now) {
     Seen s = of(target);
+    if (s.fleetAt != 0 && now - s.fleetAt < FLEET_LIFETIME) {
+      return s.inFlight + s.fleetOthers;
+    }
     double mean = means(target.service()).others;
     double trust = s.reportedAt == 0 ? 0 : Math.exp(-(now - s.reportedAt) / REPORT_AGE_NANOS);
     return s.inFlight + mean + trust * (s.others - mean);
@@ -251,6 +280,12 @@
     double others;
     long reportedAt;
     double queueAtSend;
+    int reportedInFlight;
+    int newAnswers;
+    long newServiceNanos;
+    int fleetOthers;
+    long fleetServiceNanos;
+    long fleetAt;
 
     void learnService(double nanos) {
       answers++;
--- /dev/null
+++ b/core/src/main/java/org/cowslipmoor/core/fleet/HostReport.java
@@ -0,0 +1,25 @@
+package org.cowslipmoor.core.fleet;
+
+import com.google.common.collect.ImmutableMap;
+
+/**
+ * What one host has seen since its last report.
+ *
+ * @param keyLoads requests by service and bucket of neighbouring keys
+ * @param targets what it has seen of each target, by id
+ * @param storeRevision the newest state of the store that the host knows
+ */
+public record HostReport(
+    ImmutableMap<String, ImmutableMap<Integer, Integer>> keyLoads,
+    ImmutableMap<String, TargetSample> targets,
+    long storeRevision) {
+
+  /**
+   * What one host has seen of one target.
+   *
+   * @param inFlight requests in progress now
+   * @param answers answers since the last report
+   * @param serviceNanos nanoseconds that the target worked on them together
+   */
+  public record TargetSample(int inFlight, int answers, long serviceNanos) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/cowslipmoor/core/fleet/package-info.java
@@ -0,0 +1,5 @@
+/** What the hosts tell each other about load, by way of the coordinator. */
+@NullMarked
+package org.cowslipmoor.core.fleet;
+
+import org.jspecify.annotations.NullMarked;
--- a/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.discovery.TargetDirectory;
+import org.cowslipmoor.core.fleet.FleetState;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -27,6 +28,9 @@
   /** Longest time that the first division of a service waits for its targets to settle. */
   private static final long LONGEST_SETTLING = 4_000_000_000L;
 
+  /** Least time between two writes: each one costs a call of every host that watches. */
+  private static final long WRITE_PAUSE = 150_000_000L;
+
   private final RangeTiming timing;
   private final List<Holding> holdings = new ArrayList<>();
   private final Map<String, Settling> settling = new HashMap<>();
@@ -36,6 +40,7 @@
   private boolean mustWrite;
   private boolean wasLeaseCertain = true;
   private long nextRebalanceAt;
+  private long nextWriteAt;
 
   private record Settling(ImmutableSet<String> targets, long since, long firstSeen) {}
 
@@ -44,6 +49,7 @@
     this.version = stored.version();
     this.lastFence = stored.lastFence();
     this.nextRebalanceAt = now + timing.rebalance();
+    this.nextWriteAt = now;
     for (RangeEntry e : merged(stored)) {
       lastFence++;
       Holding h = new Holding(e.withFence(lastFence), now);
@@ -76,7 +82,8 @@
       divideNewServices(now, inputs);
       rebalance(now, inputs);
       reassignFree(now, inputs);
-      if (mustWrite) {
+      if (mustWrite && now - nextWriteAt >= 0) {
+        nextWriteAt = now + WRITE_PAUSE;
         write(actions);
       }
     }
@@ -151,9 +158,17 @@
     mustWrite = true;
   }
 
-  /** Returns the number of ranges. */
-  public int rangeCount() {
-    return holdings.size();
+  /** Returns the ranges whose owners were asked to give them back. */
+  public ImmutableList<FleetState.MovingRange> moving() {
+    return holdings.stream()
+        .filter(h -> h.isReleaseInFlight || h.isReleased)
+        .map(h -> new FleetState.MovingRange(h.entry.service(), h.entry.range()))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  /** Returns the version of the table that is in the store. */
+  public long version() {
+    return version;
   }
 
   private void act(
--- /dev/null
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/codec/FleetCodec.java
@@ -0,0 +1,126 @@
+package org.cowslipmoor.daemon.codec;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.concurrent.TimeUnit;
+import org.cowslipmoor.core.fleet.FleetState;
+import org.cowslipmoor.core.fleet.HostReport;
+import org.cowslipmoor.core.range.KeyRange;
+import org.cowslipmoor.core.range.ServiceLoad;
+import org.cowslipmoor.schema.fleet.KeyLoad;
+import org.cowslipmoor.schema.fleet.MovingRange;
+import org.cowslipmoor.schema.fleet.TargetSample;
+import org.cowslipmoor.schema.fleet.TargetState;
+
+/** Converts what hosts tell each other about load. */
+public final class FleetCodec {
+  private FleetCodec() {}
+
+  /** Converts a report to its message. */
+  public static org.cowslipmoor.schema.fleet.HostReport encodeReport(HostReport report) {
+    org.cowslipmoor.schema.fleet.HostReport.Builder message =
+        org.cowslipmoor.schema.fleet.HostReport.newBuilder()
+            .setStoreRevision(report.storeRevision());
+    report
+        .keyLoads()
+        .forEach(
+            (service, counts) -> {
+              KeyLoad.Builder load = KeyLoad.newBuilder().setService(service);
+              counts.forEach((bucket, n) -> load.addBuckets(bucket).addRequests(n));
+              message.addKeyLoads(load);
+            });
+    report
+        .targets()
+        .forEach(
+            (target, s) ->
+                message.addTargets(
+                    TargetSample.newBuilder()
+                        .setTarget(target)
+                        .setInFlight(s.inFlight())
+                        .setAnswers(s.answers())
+                        .setServiceMicros(TimeUnit.NANOSECONDS.toMicros(s.serviceNanos()))));
+    return message.build();
+  }
+
+  /**
+   * Converts a message to a report.
+   *
+   * @throws IllegalArgumentException if the message contradicts itself
+   */
+  public static HostReport decodeReport(org.cowslipmoor.schema.fleet.HostReport message) {
+    ImmutableMap.Builder<String, ImmutableMap<Integer, Integer>> loads = ImmutableMap.builder();
+    for (KeyLoad load : message.getKeyLoadsList()) {
+      loads.put(load.getService(), decodeCounts(load));
+    }
+    ImmutableMap.Builder<String, HostReport.TargetSample> targets = ImmutableMap.builder();
+    for (TargetSample s : message.getTargetsList()) {
+      targets.put(
+          s.getTarget(),
+          new HostReport.TargetSample(
+              s.getInFlight(),
+              s.getAnswers(),
+              TimeUnit.MICROSECONDS.toNanos(s.getServiceMicros())));
+    }
+    return new HostReport(loads.buildOrThrow(), targets.buildOrThrow(), message.getStoreRevision());
+  }
+
+  /** Converts the fleet's state to its message. */
+  public static org.cowslipmoor.schema.fleet.FleetState encodeState(FleetState state) {
+    org.cowslipmoor.schema.fleet.FleetState.Builder message =
+        org.cowslipmoor.schema.fleet.FleetState.newBuilder().setTableVersion(state.tableVersion());
+    state
+        .targets()
+        .forEach(
+            (target, t) ->
+                message.addTargets(
+                    TargetState.newBuilder()
+                        .setTarget(target)
+                        .setInFlight(t.inFlight())
+                        .setServiceMicros((int) TimeUnit.NANOSECONDS.toMicros(t.serviceNanos()))));
+    for (FleetState.MovingRange m : state.moving()) {
+      message.addMoving(
+          MovingRange.newBuilder()
+              .setService(m.service())
+              .setFrom(m.range().from())
+              .setTo(m.range().to()));
+    }
+    return message.build();
+  }
+
+  /**
+   * Converts a message to the fleet's state.
+   *
+   * @throws IllegalArgumentException if the message contradicts itself
+   */
+  public static FleetState decodeState(org.cowslipmoor.schema.fleet.FleetState message) {
+    ImmutableMap.Builder<String, FleetState.TargetState> targets = ImmutableMap.builder();
+    for (TargetState t : message.getTargetsList()) {
+      targets.put(
+          t.getTarget(),
+          new FleetState.TargetState(
+              t.getInFlight(), TimeUnit.MICROSECONDS.toNanos(t.getServiceMicros())));
+    }
+    ImmutableList.Builder<FleetState.MovingRange> moving = ImmutableList.builder();
+    for (MovingRange m : message.getMovingList()) {
+      moving.add(new FleetState.MovingRange(m.getService(), new KeyRange(m.getFrom(), m.getTo())));
+    }
+    return new FleetState(targets.buildOrThrow(), message.getTableVersion(), moving.build());
+  }
+
+  private static ImmutableMap<Integer, Integer> decodeCounts(KeyLoad load) {
+    checkArgument(
+        load.getBucketsCount() == load.getRequestsCount(),
+        "there are %s buckets, but %s counts",
+        load.getBucketsCount(),
+        load.getRequestsCount());
+    ImmutableMap.Builder<Integer, Integer> counts = ImmutableMap.builder();
+    for (int i = 0; i < load.getBucketsCount(); i++) {
+      int bucket = load.getBuckets(i);
+      checkArgument(0 <= bucket && bucket < ServiceLoad.BUCKETS, "there is no bucket %s", bucket);
+      counts.put(bucket, load.getRequests(i));
+    }
+    return counts.buildOrThrow();
+  }
+}
--- a/daemon/src/main/java/org/cowslipmoor/daemon/codec/MemberMessageCodec.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/codec/MemberMessageCodec.java
@@ -73,7 +73,8 @@
           Optional.of(
               new MemberMessage.Digest(
                   frame.getDigest().getDataCentre(), frame.getDigest().getConfigurationRevision()));
-      case HELLO, HEARTBEAT, CONTENT_NOT_SET -> Optional.empty();
+      case HELLO, HEARTBEAT, HOST_REPORT, FLEET_STATE, STORE_NEWS, CONTENT_NOT_SET ->
+          Optional.empty();
     };
   }
 
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/Coordination.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/Coordination.java
@@ -1,14 +1,17 @@
 package org.cowslipmoor.daemon.coordination;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import org.cowslipmoor.core.fleet.FleetState;
 import org.cowslipmoor.core.range.Leadership;
 import org.cowslipmoor.core.range.RangeAction;
 import org.cowslipmoor.core.range.RangeCoordinator;
+import org.cowslipmoor.core.range.RangeEntry;
 import org.cowslipmoor.core.range.RangeInputs;
 import org.cowslipmoor.core.range.RangeTable;
 import org.cowslipmoor.core.range.RangeTiming;
@@ -30,6 +33,7 @@
   private final Supplier<StoreView> view;
   private final Function<String, ServiceLoad> loads;
   private final HostClock clock;
+  private Runnable onMoving = () -> {};
   private @Nullable RangeCoordinator coordinator;
   private boolean isReading;
   private long tableRevision;
@@ -60,7 +64,8 @@
   public void tick() {
     long now = System.nanoTime();
     checkSuspension(now);
-    leadership.onVacancy(now, view.get().configuration() != null && view.get().leader() == null);
+    StoreView v = view.get();
+    leadership.onVacancy(now, v.isLoaded() && v.coordinator() == null);
     leadership.tick(now).ifPresent(this::call);
     if (leadership.lease() == null) {
       coordinator = null;
@@ -84,11 +89,28 @@
     end.ifPresent(this::call);
   }
 
+  /** Sets what is run when an owner begins to give keys back. */
+  public void onMoving(Runnable listener) {
+    onMoving = listener;
+  }
+
   /** Tells whether this host coordinates. */
   public boolean isCoordinator() {
     return coordinator != null;
   }
 
+  /** Returns the ranges that are being taken back from their owners. */
+  public ImmutableList<FleetState.MovingRange> moving() {
+    RangeCoordinator c = coordinator;
+    return c == null ? ImmutableList.of() : c.moving();
+  }
+
+  /** Returns the version of the table that {@link #moving} refers to. */
+  public long tableVersion() {
+    RangeCoordinator c = coordinator;
+    return c == null ? 0 : c.version();
+  }
+
   private void checkSuspension(long now) {
     if (clock.wasSuspended(now, timeOfDay())) {
       Logger.warn("the process stood still; the lease is checked before anything is granted");
@@ -171,26 +193,33 @@
 
   private void perform(RangeCoordinator c, RangeAction action) {
     switch (action) {
-      case RangeAction.Grant a ->
-          orders
-              .grant(a.entry(), a.holdNanos())
-              .thenAccept(
-                  outcome -> {
-                    Logger.debug("grant of {} ended as {}", a.entry(), outcome);
-                    c.onGrant(System.nanoTime(), a.entry(), outcome);
-                  });
-      case RangeAction.Release a ->
-          orders
-              .release(a.entry())
-              .thenAccept(
-                  released -> {
-                    Logger.info("release of {} done: {}", a.entry(), released.done());
-                    c.onRelease(System.nanoTime(), a.entry(), released.done(), released.handover());
-                  });
+      case RangeAction.Grant a -> grant(c, a);
+      case RangeAction.Release a -> release(c, a.entry());
       case RangeAction.Write a -> write(c, a.table());
     }
   }
 
+  private void grant(RangeCoordinator c, RangeAction.Grant grant) {
+    orders
+        .grant(grant.entry(), grant.holdNanos())
+        .thenAccept(
+            outcome -> {
+              Logger.debug("grant of {} ended as {}", grant.entry(), outcome);
+              c.onGrant(System.nanoTime(), grant.entry(), outcome);
+            });
+  }
+
+  private void release(RangeCoordinator c, RangeEntry entry) {
+    onMoving.run();
+    orders
+        .release(entry)
+        .thenAccept(
+            released -> {
+              Logger.info("release of {} done: {}", entry, released.done());
+              c.onRelease(System.nanoTime(), entry, released.done(), released.handover());
+            });
+  }
+
   private void write(RangeCoordinator c, RangeTable table) {
     Leadership.Lease lease = leadership.lease();
     if (lease == null) {
--- /dev/null
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
@@ -0,0 +1,164 @@
+package org.cowslipmoor.daemon.coordination;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.net.HostAndPort;
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.cowslipmoor.core.discovery.DiscoveredTarget;
+import org.cowslipmoor.core.fleet.FleetAggregator;
+import org.cowslipmoor.core.fleet.FleetState;
+import org.cowslipmoor.core.fleet.HostReport;
+import org.cowslipmoor.core.range.ServiceLoad;
+import org.cowslipmoor.daemon.codec.FleetCodec;
+import org.cowslipmoor.daemon.member.MemberLinks;
+import org.cowslipmoor.schema.fleet.StoreNews;
+import org.cowslipmoor.schema.member.Envelope;
+import org.cowslipmoor.schema.member.Hello;
+import org.tinylog.Logger;
+
+/**
+ * Exchanges load between this host and the coordinator, and passes the store's news on to hosts
+ * that are cut off from the store. Confined to the host's event loop.
+ */
+public final class FleetExchange implements MemberLinks.FrameReceiver {
+  private static final String SETUP = "platform";
+
+  /** State of the store that a host may lack before it is sent the news, in nanoseconds. */
+  private static final long RELAY_DELAY = 400_000_000L;
+
+  private final String host;
+  private final SharedStore store;
+  private final Coordination coordination;
+  private final Supplier<StoreView> view;
+  private final Supplier<HostReport> report;
+  private final Consumer<FleetState> onFleet;
+  private final MemberLinks links;
+  private final FleetAggregator aggregator = FleetAggregator.create(System.nanoTime());
+  private long settledRevision;
+  private long nextSettledRevision;
+  private long settleAt = System.nanoTime();
+
+  /**
+   * Creates the exchange of a host.
+   *
+   * @param group event loops for the links
+   * @param host id of this host
+   * @param report makes the report of what this host has seen since its last one
+   * @param onFleet takes what all hosts together have seen
+   */
+  public FleetExchange(
+      EventLoopGroup group,
+      String host,
+      String dataCentre,
+      SharedStore store,
+      Coordination coordination,
+      Supplier<StoreView> view,
+      Supplier<HostReport> report,
+      Consumer<FleetState> onFleet) {
+    this.host = host;
+    this.store = store;
+    this.coordination = coordination;
+    this.view = view;
+    this.report = report;
+    this.onFleet = onFleet;
+    Hello hello =
+        Hello.newBuilder().setSetup(SETUP).setMemberId(host).setDataCentre(dataCentre).build();
+    this.links = MemberLinks.over(group, hello, this::linkAddress, this);
+    coordination.onMoving(this::broadcast);
+  }
+
+  /** Starts to take links. */
+  public void listen(HostAndPort address) throws InterruptedException {
+    links.listen(address.getHost(), address.getPort());
+  }
+
+  /** Sends what is due; to be called a few times a second. */
+  public void tick() {
+    HostReport own = report.get();
+    StoreView.Coordinator coordinator = view.get().coordinator();
+    if (coordination.isCoordinator()) {
+      aggregator.onReport(host, own, System.nanoTime());
+      broadcast();
+      relayNews();
+    } else if (coordinator != null && !coordinator.host().equals(host)) {
+      Envelope frame = Envelope.newBuilder().setHostReport(FleetCodec.encodeReport(own)).build();
+      links.send(coordinator.host(), frame);
+    }
+  }
+
+  /** Returns the load of a keyed service, as this host knows it as coordinator. */
+  public ServiceLoad load(String service) {
+    List<DiscoveredTarget> targets = view.get().directory().usable(service);
+    return aggregator.load(service, targets, System.nanoTime());
+  }
+
+  /** Takes a change of what the store says. */
+  public void onView(StoreView newView) {
+    aggregator.retain(newView.directory().all().keySet());
+  }
+
+  /** Closes the links. */
+  public void close() {
+    links.close();
+  }
+
+  @Override
+  public void onFrame(String from, Envelope frame) {
+    try {
+      switch (frame.getContentCase()) {
+        case HOST_REPORT ->
+            aggregator.onReport(
+                from, FleetCodec.decodeReport(frame.getHostReport()), System.nanoTime());
+        case FLEET_STATE -> onFleet.accept(FleetCodec.decodeState(frame.getFleetState()));
+        case STORE_NEWS -> store.onRelayedNews(frame.getStoreNews());
+        default -> Logger.debug("host {} sent a frame of no use here", from);
+      }
+    } catch (IllegalArgumentException e) {
+      Logger.warn("host {} sent a frame that contradicts itself: {}", from, e.getMessage());
+    }
+  }
+
+  private void broadcast() {
+    long now = System.nanoTime();
+    FleetState state = aggregator.state(now, coordination.tableVersion(), coordination.moving());
+    Envelope frame = Envelope.newBuilder().setFleetState(FleetCodec.encodeState(state)).build();
+    for (String other : aggregator.hosts(now).keySet()) {
+      if (!other.equals(host)) {
+        links.send(other, frame);
+      }
+    }
+    onFleet.accept(state);
+  }
+
+  /** Sends the store's news to hosts that still lack what was known here some time ago. */
+  private void relayNews() {
+    long now = System.nanoTime();
+    if (now - settleAt >= RELAY_DELAY) {
+      settleAt = now;
+      settledRevision = nextSettledRevision;
+      nextSettledRevision = view.get().revision();
+    }
+    ImmutableMap<String, Long> hosts = aggregator.hosts(now);
+    hosts.forEach(
+        (other, revision) -> {
+          if (!other.equals(host) && revision < settledRevision) {
+            StoreNews news = store.newsSince(revision);
+            Logger.info("relays {} items of the store to {}", news.getItemsCount(), other);
+            links.send(other, Envelope.newBuilder().setStoreNews(news).build());
+          }
+        });
+  }
+
+  private Optional<InetSocketAddress> linkAddress(String member) {
+    StoreView.Coordinator c = view.get().coordinator();
+    if (c == null || !c.host().equals(member)) {
+      return Optional.empty();
+    }
+    HostAndPort address = HostAndPort.fromString(c.linkAddress());
+    return Optional.of(new InetSocketAddress(address.getHost(), address.getPort()));
+  }
+}
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/SharedStore.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/SharedStore.java
@@ -4,6 +4,7 @@
 import java.util.function.Consumer;
 import org.cowslipmoor.core.range.Leadership;
 import org.cowslipmoor.core.range.RangeTable;
+import org.cowslipmoor.schema.fleet.StoreNews;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -15,6 +16,12 @@
   /** Begins to follow the store; the consumer is called with each change. */
   void follow(Consumer<StoreView> onChange);
 
+  /** Returns what was written after a revision, for a host that can't reach the store. */
+  StoreNews newsSince(long revision);
+
+  /** Takes what another host has read from the store. */
+  void onRelayedNews(StoreNews news);
+
   /** Tries to become the one coordinator, under a new lease. */
   CompletableFuture<ClaimResult> claim();
 
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/StoreView.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/StoreView.java
@@ -13,17 +13,29 @@
  * @param table who holds which keys
  * @param tableRevision the store's mark of that table, for a conditional write; 0 when there is
  *     none
- * @param leader id of the host that coordinates; null when none does
+ * @param coordinator the host that coordinates; null when none does
+ * @param isLoaded whether the store was read at all
+ * @param revision the newest state of the store that is known
  */
 public record StoreView(
     @Nullable RoutingConfiguration configuration,
     TargetDirectory directory,
     RangeTable table,
     long tableRevision,
-    @Nullable String leader) {
+    @Nullable Coordinator coordinator,
+    boolean isLoaded,
+    long revision) {
+
+  /**
+   * A host that coordinates.
+   *
+   * @param host its id
+   * @param linkAddress where it takes links of other hosts, as {@code ip:port}
+   */
+  public record Coordinator(String host, String linkAddress) {}
 
   /** Returns the view of a host that knows nothing. */
   public static StoreView unknown() {
-    return new StoreView(null, TargetDirectory.empty(), RangeTable.empty(), 0, null);
+    return new StoreView(null, TargetDirectory.empty(), RangeTable.empty(), 0, null, false, 0);
   }
 }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Attempt.java
@@ -29,10 +29,8 @@
   /** Times the expected time after which a request that may be sent again is given up. */
   private static final double PATIENCE = 4;
 
-  private static final long LEAST_PATIENCE = 250 * MS;
-
-  /** Part of the time left that one attempt may use when another one can follow. */
-  private static final double LARGEST_PART = 0.6;
+  /** Part of the objective that an attempt may use in any case. */
+  private static final double OBJECTIVE_PART = 0.8;
 
   private static final long TURNED_AWAY_RETRY = 150 * MS;
 
@@ -68,11 +66,9 @@
       return;
     }
     owner.body().writeTo(e);
-    long left = owner.deadlineAt() - startedAt;
     long limit =
-        Math.min(
-            Math.max(LEAST_PATIENCE, (long) (PATIENCE * expectedNanos)),
-            (long) (LARGEST_PART * left));
+        Math.max(
+            (long) (PATIENCE * expectedNanos), (long) (OBJECTIVE_PART * owner.objectiveNanos()));
     if (owner.hasSpareAttempt()) {
       patience =
           owner
@@ -226,7 +222,7 @@
     if (over || relay != null || discarding) {
       return;
     }
-    if (!owner.mayRetry(this, System.nanoTime())) {
+    if (!owner.maySwitch(this, System.nanoTime())) {
       return;
     }
     over = true;
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
@@ -9,7 +9,8 @@
 import org.cowslipmoor.core.admission.TargetBook;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.discovery.TargetDirectory;
-import org.cowslipmoor.core.range.KeyLoadMeter;
+import org.cowslipmoor.core.fleet.FleetState;
+import org.cowslipmoor.core.range.KeyCounts;
 import org.cowslipmoor.core.range.RangeEntry;
 import org.cowslipmoor.core.request.RetryBudget;
 import org.cowslipmoor.core.routing.SplitSelector;
@@ -26,11 +27,12 @@
   private final Dialect dialect;
   private final TargetBook book;
   private final SplitSelector splits;
-  private final KeyLoadMeter keyLoad;
+  private final KeyCounts keyCounts;
   private final MetricRegistry metrics;
   private final RetryLimits retryLimits;
   private final Map<String, RetryBudget> budgets = new HashMap<>();
   private final Map<String, Long> drainingSince = new HashMap<>();
+  private FleetState fleet = FleetState.UNKNOWN;
   private boolean stopping;
   private int inProgress;
 
@@ -48,7 +50,7 @@
       HttpConnections connections,
       Dialect dialect,
       TargetBook book,
-      KeyLoadMeter keyLoad,
+      KeyCounts keyCounts,
       RetryLimits retryLimits,
       RandomGenerator random,
       MetricRegistry metrics) {
@@ -57,7 +59,7 @@
     this.dialect = dialect;
     this.book = book;
     this.splits = SplitSelector.create(random);
-    this.keyLoad = keyLoad;
+    this.keyCounts = keyCounts;
     this.retryLimits = retryLimits;
     this.metrics = metrics;
   }
@@ -76,6 +78,12 @@
     }
   }
 
+  /** Takes what all hosts together have seen. */
+  public void onFleet(FleetState newState, long now) {
+    fleet = newState;
+    book.onFleet(newState, now);
+  }
+
   /** Ends each connection of a caller with its next answer, since the host is about to stop. */
   public void stop() {
     stopping = true;
@@ -92,6 +100,9 @@
    */
   Optional<DiscoveredTarget> owner(String service, int key, long now) {
     StoreView v = view.get();
+    if (fleet.tableVersion() >= v.table().version() && fleet.isMoving(service, key)) {
+      return Optional.empty();
+    }
     TargetDirectory directory = v.directory();
     return v.table()
         .find(service, key)
@@ -132,8 +143,8 @@
     return splits;
   }
 
-  KeyLoadMeter keyLoad() {
-    return keyLoad;
+  KeyCounts keyCounts() {
+    return keyCounts;
   }
 
   RetryBudget budget(String service) {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
@@ -16,7 +16,6 @@
 import org.cowslipmoor.core.admission.Placement;
 import org.cowslipmoor.core.admission.RequestNeeds;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
-import org.cowslipmoor.core.range.ServiceLoad;
 import org.cowslipmoor.core.request.ResultCode;
 import org.cowslipmoor.core.routing.RouteRule;
 import org.cowslipmoor.core.routing.RoutingConfiguration;
@@ -56,6 +55,7 @@
   private long deadlineAt;
   private long objectiveAt;
   private long ownerWaitUntil;
+  private int sendings;
   private boolean mayHaveRun;
   private boolean retryGranted;
   private boolean over;
@@ -114,7 +114,7 @@
     gateway.budget(service).onRequest();
     ServiceDescription description = configuration.services().get(service);
     if (description != null && description.keyed() && told.key() != null) {
-      gateway.keyLoad().count(service, ServiceLoad.bucket(told.key()), 1, startedAt);
+      gateway.keyCounts().count(service, told.key());
     }
     RequestBody b = new RequestBody(configuration.limits().bodyBytes(), this);
     body = b;
@@ -145,26 +145,33 @@
       return;
     }
     long now = System.nanoTime();
-    RouteRule r = rule();
-    RequestNeeds needs = new RequestNeeds(objectiveAt - now, deadlineAt - now, r.priority());
-    Integer key = head == null ? null : head.key();
-    ServiceDescription description = description();
-    if (description != null && description.keyed() && key != null) {
-      placeWithOwner(now, needs, key);
-      return;
+    Placement placement = placement(now);
+    if (placement instanceof Placement.NoTarget && isKeyed()) {
+      awaitOwner(now);
+    } else {
+      send(placement);
     }
-    Placement placement =
-        gateway.book().place(gateway.view().directory().usable(service), triedTargets, needs, now);
-    send(placement);
   }
 
-  private void placeWithOwner(long now, RequestNeeds needs, int key) {
-    Optional<DiscoveredTarget> owner = gateway.owner(service, key, now);
-    if (owner.isPresent()) {
-      send(gateway.book().admit(owner.get(), needs, now));
-    } else {
-      awaitOwner(now);
+  private Placement placement(long now) {
+    RequestNeeds needs = new RequestNeeds(objectiveAt - now, deadlineAt - now, rule().priority());
+    CallerHead told = head;
+    if (isKeyed() && told != null && told.key() != null) {
+      Optional<DiscoveredTarget> owner = gateway.owner(service, told.key(), now);
+      return owner.isPresent()
+          ? gateway.book().admit(owner.get(), needs, now)
+          : new Placement.NoTarget();
     }
+    return gateway
+        .book()
+        .place(gateway.view().directory().usable(service), triedTargets, needs, now);
+  }
+
+  /**
+   * Tells whether the request could be sent again at once, and if so takes that from the budget.
+   */
+  boolean maySwitch(Attempt running, long now) {
+    return placement(now) instanceof Placement.Send && mayRetry(running, now);
   }
 
   private void awaitOwner(long now) {
@@ -186,6 +193,7 @@
     switch (placement) {
       case Placement.Send p -> {
         triedTargets.add(p.target().id());
+        sendings++;
         attempt = new Attempt(this, gateway, p.target(), p.expectedNanos());
         attempt.start();
       }
@@ -246,13 +254,14 @@
         && deadlineAt - now > failed.expectedNanos() / 2;
   }
 
-  /** Tells whether a further attempt would be possible if this one fails. */
+  /**
+   * Tells whether the request had better be sent once more when its target stays silent. The one
+   * owner of a key gets it again once, since only the connection or the answer may be lost.
+   */
   boolean hasSpareAttempt() {
     RequestBody b = body;
-    return rule().kind().isRepeatable()
-        && b != null
-        && b.isRepeatable()
-        && (isKeyed() || triedTargets.size() < rule().attempts());
+    int most = isKeyed() ? 2 : rule().attempts();
+    return rule().kind().isRepeatable() && b != null && b.isRepeatable() && sendings < most;
   }
 
   /** Takes the end of the answer that was passed on. */
@@ -382,6 +391,11 @@
     return requestId;
   }
 
+  /** Returns the nanoseconds that an answer in time may take in all. */
+  long objectiveNanos() {
+    return objectiveAt - startedAt;
+  }
+
   long deadlineAt() {
     return deadlineAt;
   }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -1,7 +1,6 @@
 package org.cowslipmoor.daemon.gateway;
 
 import com.codahale.metrics.MetricRegistry;
-import com.google.common.collect.ImmutableMap;
 import com.google.common.net.HostAndPort;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
@@ -17,11 +16,13 @@
 import java.util.concurrent.TimeoutException;
 import java.util.random.RandomGenerator;
 import org.cowslipmoor.core.admission.TargetBook;
-import org.cowslipmoor.core.range.KeyLoadMeter;
+import org.cowslipmoor.core.fleet.HostReport;
+import org.cowslipmoor.core.range.KeyCounts;
 import org.cowslipmoor.core.range.Leadership;
 import org.cowslipmoor.core.range.RangeTiming;
 import org.cowslipmoor.core.range.ServiceLoad;
 import org.cowslipmoor.daemon.coordination.Coordination;
+import org.cowslipmoor.daemon.coordination.FleetExchange;
 import org.cowslipmoor.daemon.coordination.SharedStore;
 import org.cowslipmoor.daemon.coordination.StoreView;
 import org.cowslipmoor.daemon.coordination.TargetOrders;
@@ -40,6 +41,10 @@
 
   private static final Duration CALLER_IDLE_LIMIT = Duration.ofSeconds(60);
   private static final long TICK_MS = 50;
+
+  /** Time between reports to the coordinator, in milliseconds. */
+  private static final long REPORT_MS = 200;
+
   private static final long CLEANING_MS = 1_000;
 
   /** Hosts that share the retries and the targets' connections, at most. */
@@ -61,7 +66,8 @@
   private final EventLoop loop;
   private final Gateway gateway;
   private final Coordination coordination;
-  private final KeyLoadMeter keyLoad;
+  private final KeyCounts keyCounts;
+  private final FleetExchange fleet;
   private final TargetBook book;
   private final Server server;
   private StoreView view = StoreView.unknown();
@@ -78,16 +84,16 @@
       RandomGenerator random) {
     this.settings = settings;
     this.loop = loop;
-    final long now = System.nanoTime();
     MetricRegistry metrics = new MetricRegistry();
     HttpConnections connections = new HttpConnections(loop, CONNECT_TIMEOUT, IDLE_LIMIT);
     book = TargetBook.create(settings.dataCentre(), CONNECTION_SHARE, random);
-    keyLoad = KeyLoadMeter.create(now);
+    keyCounts = new KeyCounts();
     Gateway.RetryLimits limits =
         new Gateway.RetryLimits(
             settings.retryShare() * RETRY_PART,
             Math.max(1, settings.retryReserve() * RETRY_PART / LARGEST_FLEET));
-    gateway = new Gateway(() -> view, connections, dialect, book, keyLoad, limits, random, metrics);
+    gateway =
+        new Gateway(() -> view, connections, dialect, book, keyCounts, limits, random, metrics);
     coordination =
         new Coordination(
             store,
@@ -96,9 +102,22 @@
             RangeTiming.standard(settings.longestHoldMillis()),
             () -> view,
             this::load);
+    fleet =
+        new FleetExchange(
+            group,
+            settings.host(),
+            settings.dataCentre(),
+            store,
+            coordination,
+            () -> view,
+            this::report,
+            state -> gateway.onFleet(state, System.nanoTime()));
     server = server(group);
     loop.execute(() -> store.follow(this::onView));
-    loop.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    loop.scheduleWithFixedDelay(
+        () -> guarded(coordination::tick), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    loop.scheduleWithFixedDelay(
+        () -> guarded(fleet::tick), REPORT_MS, REPORT_MS, TimeUnit.MILLISECONDS);
     loop.scheduleWithFixedDelay(
         connections::closeStale, CLEANING_MS, CLEANING_MS, TimeUnit.MILLISECONDS);
   }
@@ -111,8 +130,10 @@
       SharedStore store,
       TargetOrders orders,
       Dialect dialect,
-      RandomGenerator random) {
+      RandomGenerator random)
+      throws InterruptedException {
     GatewayHost host = new GatewayHost(settings, group, loop, store, orders, dialect, random);
+    host.fleet.listen(HostAndPort.fromString(settings.linkAddress()));
     host.server.start().join();
     Logger.info(
         "host {} of {} serves callers on {}",
@@ -163,20 +184,25 @@
   private void onView(StoreView newView) {
     view = newView;
     gateway.onView(newView, System.nanoTime());
+    fleet.onView(newView);
     ready = newView.configuration() != null && !stopping;
   }
 
-  private void tick() {
-    try {
-      coordination.tick();
-    } catch (RuntimeException e) {
-      Logger.error(e, "the coordination failed");
-    }
+  private HostReport report() {
+    return new HostReport(keyCounts.drain(), book.drainSamples(), view.revision());
   }
 
   private ServiceLoad load(String service) {
-    double[] weights = keyLoad.weights(service, System.nanoTime());
-    return new ServiceLoad(weights, ImmutableMap.of());
+    return fleet.load(service);
+  }
+
+  /** Runs a periodic task, whose failure must not end its repetition. */
+  private static void guarded(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      Logger.error(e, "a periodic task failed");
+    }
   }
 
   private Server server(EventLoopGroup group) {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewaySettings.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewaySettings.java
@@ -9,6 +9,7 @@
  * @param dataCentre the data centre that it runs in
  * @param callerAddress where callers connect, as {@code ip:port}
  * @param readyAddress where the balancer asks whether the host is ready, as {@code ip:port}
+ * @param linkAddress where other hosts connect, as {@code ip:port}
  * @param readyPath path of that question
  * @param leaseMillis duration of the coordinator's lease in milliseconds
  * @param longestHoldMillis longest hold of a grant in milliseconds
@@ -21,6 +22,7 @@
     String dataCentre,
     String callerAddress,
     String readyAddress,
+    String linkAddress,
     String readyPath,
     long leaseMillis,
     long longestHoldMillis,
--- a/daemon/src/main/java/org/cowslipmoor/daemon/http/Exchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/Exchange.java
@@ -56,7 +56,7 @@
     }
     finish();
     if (connection != null) {
-      connection.close();
+      connection.reset();
     }
   }
 
--- a/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnection.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
@@ -75,6 +76,15 @@
     channel.close();
   }
 
+  /**
+   * Closes the connection by a reset: what was written and has not arrived, for instance since the
+   * network is parted, must not arrive later.
+   */
+  void reset() {
+    channel.config().setOption(ChannelOption.SO_LINGER, 0);
+    close();
+  }
+
   /** Tells whether the connection may still be used, having been idle since its last exchange. */
   boolean isFresh(long now) {
     return reusable && channel.isActive() && now - idleSince < idleLimitNanos;
--- a/daemon/src/main/java/org/cowslipmoor/daemon/member/MemberLinks.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/member/MemberLinks.java
@@ -47,15 +47,21 @@
   private static final int LENGTH_BYTES = 4;
   private static final int CONNECT_TIMEOUT_MS = 500;
 
-  private final EventLoopGroup loops =
-      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoopGroup loops;
+  private final boolean ownsLoops;
   private final Map<String, Channel> channels = new ConcurrentHashMap<>();
   private final Set<String> connecting = ConcurrentHashMap.newKeySet();
   private final AtomicLong bytesSent = new AtomicLong();
   private final AtomicLong framesSent = new AtomicLong();
   private final Hello hello;
   private final Function<String, Optional<InetSocketAddress>> addresses;
-  private final Receiver receiver;
+  private final FrameReceiver receiver;
+
+  /** Takes the frames that arrive. */
+  public interface FrameReceiver {
+    /** Takes one frame of a host. */
+    void onFrame(String from, Envelope frame);
+  }
 
   /** Takes the messages that arrive. */
   public interface Receiver {
@@ -72,9 +78,40 @@
    */
   public MemberLinks(
       Hello hello, Function<String, Optional<InetSocketAddress>> addresses, Receiver receiver) {
+    this(
+        hello,
+        addresses,
+        decoding(receiver),
+        new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()),
+        true);
+  }
+
+  private MemberLinks(
+      Hello hello,
+      Function<String, Optional<InetSocketAddress>> addresses,
+      FrameReceiver receiver,
+      EventLoopGroup loops,
+      boolean ownsLoops) {
     this.hello = hello;
     this.addresses = addresses;
     this.receiver = receiver;
+    this.loops = loops;
+    this.ownsLoops = ownsLoops;
+  }
+
+  /**
+   * Creates links over event loops that the caller keeps and closes.
+   *
+   * @param hello how this host introduces itself
+   * @param addresses finds the address of a host by its id
+   * @param receiver takes the frames that arrive
+   */
+  public static MemberLinks over(
+      EventLoopGroup loops,
+      Hello hello,
+      Function<String, Optional<InetSocketAddress>> addresses,
+      FrameReceiver receiver) {
+    return new MemberLinks(hello, addresses, receiver, loops, false);
   }
 
   /** Starts to accept links. */
@@ -90,18 +127,24 @@
 
   /** Sends a message to a host, opening a link to it when there is none. */
   public void send(String member, MemberMessage message) {
+    send(member, MemberMessageCodec.encode(message));
+  }
+
+  /** Sends a frame to a host, opening a link to it when there is none. */
+  public void send(String member, Envelope frame) {
     Channel open = channels.get(member);
     if (open != null && open.isActive()) {
-      write(open, message);
+      write(open, frame);
     } else {
-      addresses.apply(member).ifPresent(address -> connect(member, address, message));
+      addresses.apply(member).ifPresent(address -> connect(member, address, frame));
     }
   }
 
   /** Sends a message to hosts that are known only by address. */
   public void sendTo(List<HostAndPort> peers, MemberMessage message) {
+    Envelope frame = MemberMessageCodec.encode(message);
     for (HostAndPort peer : peers) {
-      connect(peer.toString(), new InetSocketAddress(peer.getHost(), peer.getPort()), message);
+      connect(peer.toString(), new InetSocketAddress(peer.getHost(), peer.getPort()), frame);
     }
   }
 
@@ -117,7 +160,10 @@
 
   @Override
   public void close() {
-    loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    channels.values().forEach(Channel::close);
+    if (ownsLoops) {
+      loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
   }
 
   /** Notes the open link of a host. */
@@ -131,17 +177,23 @@
   }
 
   void received(String from, Envelope frame) {
-    Optional<MemberMessage> message;
-    try {
-      message = MemberMessageCodec.decode(frame);
-    } catch (IllegalArgumentException e) {
-      Logger.warn("member {} sent a frame that contradicts itself: {}", from, e.getMessage());
-      return;
-    }
-    message.ifPresent(m -> receiver.onMessage(from, m));
+    receiver.onFrame(from, frame);
   }
 
-  private void connect(String name, InetSocketAddress address, MemberMessage first) {
+  private static FrameReceiver decoding(Receiver receiver) {
+    return (from, frame) -> {
+      Optional<MemberMessage> message;
+      try {
+        message = MemberMessageCodec.decode(frame);
+      } catch (IllegalArgumentException e) {
+        Logger.warn("member {} sent a frame that contradicts itself: {}", from, e.getMessage());
+        return;
+      }
+      message.ifPresent(m -> receiver.onMessage(from, m));
+    };
+  }
+
+  private void connect(String name, InetSocketAddress address, Envelope first) {
     if (!connecting.add(name)) {
       return;
     }
@@ -166,14 +218,13 @@
         });
   }
 
-  private void onConnected(String name, ChannelFuture opening, MemberMessage first) {
+  private void onConnected(String name, ChannelFuture opening, Envelope first) {
     connecting.remove(name);
     opened(name, opening.channel());
     write(opening.channel(), first);
   }
 
-  private void write(Channel channel, MemberMessage message) {
-    Envelope frame = MemberMessageCodec.encode(message);
+  private void write(Channel channel, Envelope frame) {
     bytesSent.addAndGet(frame.getSerializedSize() + LENGTH_BYTES);
     framesSent.incrementAndGet();
     channel.writeAndFlush(frame, channel.voidPromise());
