Place by what targets told last, bound queues by the tightest objective, close idle callers at a stop

(2) LOST: kept connections brought requests until the end of the grace. (3) GONE: after a restart requests were sent on whose callers had left while the host started.

--- a/core/src/main/java/org/cowslipmoor/core/admission/TargetBook.java
+++ b/core/src/main/java/org/cowslipmoor/core/admission/TargetBook.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableMap;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.random.RandomGenerator;
@@ -35,11 +36,11 @@
   /** Answers after which a target's own service time counts as much as its service's. */
   private static final double PRIOR_ANSWERS = 4;
 
-  /** Time in which what a target told of its load loses most of its meaning. */
-  private static final double REPORT_AGE_NANOS = 1_000 * MS;
+  /** Time after which what was told of the other hosts' requests no longer counts. */
+  private static final long OTHERS_LIFETIME = 1_500 * MS;
 
-  /** Time after which the sums of all hosts no longer count. */
-  private static final long FLEET_LIFETIME = 1_500 * MS;
+  /** Age that the sum of the hosts' reports has when it arrives. */
+  private static final long REPORT_DELAY = 150 * MS;
 
   /** Requests that may wait at a target for each of its slots. */
   private static final double QUEUE_PER_SLOT = 2;
@@ -50,10 +51,23 @@
   /** Round trip between data centres. */
   private static final double REMOTE_NANOS = 3 * MS;
 
-  /** Part of the objective that requests may use up, by rank from the most urgent. */
-  private static final double URGENT_SHARE = 1.1;
+  /** Part of the tightest objective of a service that its queues and its work may use up. */
+  private static final double OBJECTIVE_SHARE = 0.9;
+
+  /** Shortest queue that is allowed, in service times; a shorter one would leave slots idle. */
+  private static final double LEAST_QUEUE = 0.5;
+
+  /** Queue that is allowed to urgent requests and to the others, relative to the usual one. */
+  private static final double URGENT_FACTOR = 1.3;
+
+  private static final double USUAL_FACTOR = 0.8;
+
+  /** Lowest rank that counts as urgent. */
+  private static final int URGENT_PRIORITY = 1;
+
+  /** Time after which an objective that was not seen again no longer bounds the queues. */
+  private static final long OBJECTIVE_MEMORY = 3_000 * MS;
 
-  private static final double USUAL_SHARE = 0.9;
   private static final long LEAST_RETRY = 100 * MS;
   private static final double LARGEST_EJECTED_SHARE = 1.0 / 3;
 
@@ -63,6 +77,7 @@
   private final TargetHealth health = TargetHealth.create(LARGEST_EJECTED_SHARE);
   private final Map<String, Seen> seen = new HashMap<>();
   private final Map<String, ServiceMeans> means = new HashMap<>();
+  private int hosts = 1;
 
   private TargetBook(String dataCentre, int connectionShare, RandomGenerator random) {
     this.dataCentre = dataCentre;
@@ -93,7 +108,7 @@
     double bestCost = Double.MAX_VALUE;
     int equals = 0;
     for (DiscoveredTarget t : usable) {
-      double cost = queueNanos(t, now) + serviceNanos(t) + remoteCost(t);
+      double cost = mirroredQueueNanos(t, now) + serviceNanos(t) + remoteCost(t);
       if (!hasRoom(t, now)) {
         continue;
       }
@@ -115,13 +130,23 @@
   /** Decides whether a request can be served by the one target that may serve it. */
   public Placement admit(DiscoveredTarget target, RequestNeeds needs, long now) {
     double queue = queueNanos(target, now);
-    double expected = queue + serviceNanos(target);
-    double share = needs.priority() <= 1 ? URGENT_SHARE : USUAL_SHARE;
-    boolean late = queue > 0 && expected > needs.objectiveNanos() * share;
-    if (!hasRoom(target, now) || late) {
+    double service = serviceNanos(target);
+    ServiceMeans m = means(target.service());
+    m.noteObjective(needs.objectiveNanos(), now);
+    boolean tooLong = queue > 0 && queue > largestQueue(m, service, needs, now);
+    boolean hopeless = queue > 0 && queue + service > needs.deadlineNanos();
+    if (!hasRoom(target, now) || tooLong || hopeless) {
       return new Placement.Refuse(retry(List.of(target), now));
     }
-    return new Placement.Send(target, (long) expected);
+    return new Placement.Send(target, (long) (queue + service));
+  }
+
+  /** Returns the nanoseconds that a request may wait for a slot. */
+  private static double largestQueue(ServiceMeans m, double service, RequestNeeds needs, long now) {
+    double spare = m.tightestObjective(now) * OBJECTIVE_SHARE - service;
+    boolean urgent = needs.priority() <= URGENT_PRIORITY;
+    double usual = Math.max(LEAST_QUEUE * service, spare);
+    return usual * (urgent ? URGENT_FACTOR : USUAL_FACTOR);
   }
 
   /** Notes that a request is sent. */
@@ -170,6 +195,19 @@
     of(target).inFlight--;
   }
 
+  /** Returns what is believed of a target, for logs. */
+  public String describe(DiscoveredTarget target, long now) {
+    Seen s = of(target);
+    return String.format(
+        Locale.ROOT,
+        "own=%d others=%d age_ms=%d load=%.0f service_ms=%.0f",
+        s.inFlight,
+        s.others,
+        (now - s.othersAt) / MS,
+        load(target, now),
+        serviceNanos(target) / MS);
+  }
+
   /** Returns the requests of this host at a target. */
   public int inFlight(String target) {
     Seen s = seen.get(target);
@@ -194,14 +232,17 @@
 
   /** Takes what all hosts together have seen. */
   public void onFleet(FleetState fleet, long now) {
+    hosts = fleet.hosts();
     fleet
         .targets()
         .forEach(
             (id, t) -> {
               Seen s = seen.computeIfAbsent(id, unused -> new Seen());
-              s.fleetOthers = Math.max(0, t.inFlight() - s.reportedInFlight);
               s.fleetServiceNanos = t.serviceNanos();
-              s.fleetAt = now;
+              // What the target itself told lately is newer than the sum of the hosts' reports.
+              if (s.othersAt == 0 || now - s.othersAt >= REPORT_DELAY) {
+                s.noteOthers(t.inFlight() - s.reportedInFlight, s.reportedInFlight, now);
+              }
             });
   }
 
@@ -227,25 +268,31 @@
     return ahead <= 0 ? 0 : ahead * serviceNanos(target) / target.slots();
   }
 
+  /**
+   * Returns the nanoseconds that a request would wait if the other hosts had sent to the target
+   * what this one has since they last told. Without that, all hosts would choose the same target
+   * until they hear of each other.
+   */
+  private double mirroredQueueNanos(DiscoveredTarget target, long now) {
+    Seen s = of(target);
+    double unseen = (hosts - 1) * (double) Math.max(0, s.inFlight - s.ownWhenTold);
+    double ahead = load(target, now) + unseen + 1 - target.slots();
+    return ahead <= 0 ? 0 : ahead * serviceNanos(target) / target.slots();
+  }
+
   private void onLoad(DiscoveredTarget target, long now, @Nullable ReportedLoad load) {
     if (load == null) {
       return;
     }
     Seen s = of(target);
-    s.others = Math.max(0, load.running() + load.waiting() - s.inFlight);
-    s.reportedAt = now;
-    ServiceMeans m = means(target.service());
-    m.others += NEW_SHARE * (s.others - m.others);
+    s.noteOthers(load.running() + load.waiting() - s.inFlight, s.inFlight, now);
   }
 
+  /** Returns the requests at a target, those of the other hosts as they were last told. */
   private double load(DiscoveredTarget target, long now) {
     Seen s = of(target);
-    if (s.fleetAt != 0 && now - s.fleetAt < FLEET_LIFETIME) {
-      return s.inFlight + s.fleetOthers;
-    }
-    double mean = means(target.service()).others;
-    double trust = s.reportedAt == 0 ? 0 : Math.exp(-(now - s.reportedAt) / REPORT_AGE_NANOS);
-    return s.inFlight + mean + trust * (s.others - mean);
+    boolean known = s.othersAt != 0 && now - s.othersAt < OTHERS_LIFETIME;
+    return s.inFlight + (known ? s.others : 0);
   }
 
   private boolean hasRoom(DiscoveredTarget target, long now) {
@@ -277,15 +324,25 @@
     int inFlight;
     double service;
     double answers;
-    double others;
-    long reportedAt;
+
+    /** Requests of other hosts, as they were last told. */
+    int others;
+
+    /** Requests of this host when that was told. */
+    int ownWhenTold;
+
+    long othersAt;
     double queueAtSend;
     int reportedInFlight;
     int newAnswers;
     long newServiceNanos;
-    int fleetOthers;
     long fleetServiceNanos;
-    long fleetAt;
+
+    void noteOthers(int requests, int own, long now) {
+      others = Math.max(0, requests);
+      ownWhenTold = own;
+      othersAt = now;
+    }
 
     void learnService(double nanos) {
       answers++;
@@ -298,6 +355,15 @@
   private static final class ServiceMeans {
     double service = FIRST_SERVICE_NANOS;
     double bytes;
-    double others;
+    private final Map<Long, Long> objectives = new HashMap<>();
+
+    void noteObjective(long nanos, long now) {
+      objectives.put(nanos, now);
+    }
+
+    double tightestObjective(long now) {
+      objectives.values().removeIf(seenAt -> now - seenAt > OBJECTIVE_MEMORY);
+      return objectives.keySet().stream().mapToLong(o -> o).min().orElse(0);
+    }
   }
 }
--- a/core/src/main/java/org/cowslipmoor/core/fleet/FleetAggregator.java
+++ b/core/src/main/java/org/cowslipmoor/core/fleet/FleetAggregator.java
@@ -89,7 +89,8 @@
                 target,
                 new FleetState.TargetState(
                     inFlight.getOrDefault(target, 0), (long) work.mean(0, 0))));
-    return new FleetState(targets.buildOrThrow(), tableVersion, moving);
+    return new FleetState(
+        Math.max(1, reports.size()), targets.buildOrThrow(), tableVersion, moving);
   }
 
   /** Returns the load of a keyed service and the speeds of its targets. */
--- a/core/src/main/java/org/cowslipmoor/core/fleet/FleetState.java
+++ b/core/src/main/java/org/cowslipmoor/core/fleet/FleetState.java
@@ -7,17 +7,20 @@
 /**
  * What all hosts have seen together.
  *
+ * @param hosts number of hosts that report
  * @param targets what is known of each target, by id
  * @param tableVersion version of the range table that {@code moving} refers to
  * @param moving ranges that are being taken back from their owners
  */
 public record FleetState(
+    int hosts,
     ImmutableMap<String, TargetState> targets,
     long tableVersion,
     ImmutableList<MovingRange> moving) {
 
   /** The state of a fleet of which nothing is known. */
-  public static final FleetState UNKNOWN = new FleetState(ImmutableMap.of(), 0, ImmutableList.of());
+  public static final FleetState UNKNOWN =
+      new FleetState(1, ImmutableMap.of(), 0, ImmutableList.of());
 
   /**
    * What all hosts together have seen of one target.
--- a/core/src/test/java/org/cowslipmoor/core/admission/TargetBookTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/admission/TargetBookTest.java
@@ -30,6 +30,7 @@
   private void fleet(String id, int inFlight, long serviceMs) {
     book.onFleet(
         new FleetState(
+            1,
             ImmutableMap.of(id, new FleetState.TargetState(inFlight, serviceMs * MS)),
             0,
             ImmutableList.of()),
@@ -73,6 +74,34 @@
     assertThat(((Placement.Refuse) p).retryNanos(), greaterThanOrEqualTo(100 * MS));
   }
 
+  /** Answers classes of one service with unlike objectives: the tightest bounds the queues. */
+  @Test
+  void queueIsBoundedByTheTightestObjectiveOfTheService() {
+    DiscoveredTarget t = target("t", "cairo");
+    fleet("t", 4, 50);
+    RequestNeeds patient = new RequestNeeds(1_000 * MS, 2_000 * MS, 2);
+    assertThat(book.admit(t, patient, NOW), instanceOf(Placement.Send.class));
+    book.admit(t, new RequestNeeds(100 * MS, 500 * MS, 1), NOW);
+    assertThat(book.admit(t, patient, NOW), instanceOf(Placement.Refuse.class));
+  }
+
+  /** Answers hosts that would all choose the target that looked best when they last heard. */
+  @Test
+  void ownUnreportedRequestsStandForThoseOfTheOtherHosts() {
+    book.onFleet(
+        new FleetState(
+            10,
+            ImmutableMap.of(
+                "a", new FleetState.TargetState(0, 50 * MS),
+                "b", new FleetState.TargetState(1, 50 * MS)),
+            0,
+            ImmutableList.of()),
+        NOW);
+    List<DiscoveredTarget> both = List.of(target("a", "cairo"), target("b", "cairo"));
+    book.onSend(target("a", "cairo"), NOW);
+    assertThat(placed(both), is("b"));
+  }
+
   @Test
   void lateRequestIsStillServedWhenNobodyWaits() {
     DiscoveredTarget t = target("t", "cairo");
--- a/daemon/src/main/java/org/cowslipmoor/daemon/codec/FleetCodec.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/codec/FleetCodec.java
@@ -106,7 +106,8 @@
     for (MovingRange m : message.getMovingList()) {
       moving.add(new FleetState.MovingRange(m.getService(), new KeyRange(m.getFrom(), m.getTo())));
     }
-    return new FleetState(targets.buildOrThrow(), message.getTableVersion(), moving.build());
+    return new FleetState(
+        message.getHosts(), targets.buildOrThrow(), message.getTableVersion(), moving.build());
   }
 
   private static ImmutableMap<Integer, Integer> decodeCounts(KeyLoad load) {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Attempt.java
@@ -185,6 +185,13 @@
       r.end();
       owner.onAnswered();
     } else if (notRun) {
+      Logger.debug(
+          "request {} was {} by {}, which tells {}; expected {}",
+          owner.requestId(),
+          outcome,
+          target.id(),
+          load,
+          gateway.book().describe(target, now));
       gateway.book().onTurnedAway(target, now, load);
       owner.onAttemptFailed(this);
     } else {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
@@ -22,6 +22,12 @@
   /** Time for which a target that drains is still sent requests for the keys that it holds. */
   private static final long DRAIN_NANOS = 1_200_000_000L;
 
+  /** Delay of a periodic task from which the host is taken to lag behind its callers. */
+  private static final long LARGEST_LAG = 150_000_000L;
+
+  /** Time for which the host is taken to lag after it was seen to, and after its start. */
+  private static final long LAG_MEMORY = 3_000_000_000L;
+
   private final Supplier<StoreView> view;
   private final HttpConnections connections;
   private final Dialect dialect;
@@ -32,9 +38,11 @@
   private final RetryLimits retryLimits;
   private final Map<String, RetryBudget> budgets = new HashMap<>();
   private final Map<String, Long> drainingSince = new HashMap<>();
+  private final CallerConnections callers = new CallerConnections();
   private FleetState fleet = FleetState.UNKNOWN;
   private boolean stopping;
   private int inProgress;
+  private long laggingUntil = System.nanoTime() + LAG_MEMORY;
 
   /**
    * Bounds this host's part of the retries to each service.
@@ -89,6 +97,23 @@
     stopping = true;
   }
 
+  /** Notes by how many nanoseconds a periodic task came too late. */
+  public void onLag(long nanos, long now) {
+    if (nanos >= LARGEST_LAG) {
+      laggingUntil = now + LAG_MEMORY;
+    }
+  }
+
+  /** Tells whether requests may have waited here for so long that their callers have left. */
+  boolean isLagging(long now) {
+    return now - laggingUntil < 0;
+  }
+
+  /** Returns the open connections of callers. */
+  CallerConnections callers() {
+    return callers;
+  }
+
   /** Returns the number of requests in progress. */
   public int inProgress() {
     return inProgress;
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
@@ -6,6 +6,7 @@
 import com.linecorp.armeria.common.HttpResponseWriter;
 import com.linecorp.armeria.common.ResponseHeadersBuilder;
 import com.linecorp.armeria.server.ServiceRequestContext;
+import io.netty.channel.Channel;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
 import java.util.Locale;
@@ -37,6 +38,9 @@
   /** Time after which a caller may find that a key has an owner again. */
   private static final long OWNER_RETRY = 300 * MS;
 
+  /** Delay after which what the callers have sent or closed meanwhile has been read. */
+  private static final long LAG_DELAY = 3 * MS;
+
   private static final long START_RETRY = 500 * MS;
 
   private final Gateway gateway;
@@ -70,6 +74,10 @@
 
   void start() {
     gateway.begin();
+    Channel channel = ctx.log().partial().channel();
+    if (channel != null) {
+      gateway.callers().onRequest(channel);
+    }
     if (gateway.isStopping()) {
       ctx.initiateConnectionShutdown();
     }
@@ -77,6 +85,9 @@
         .whenComplete()
         .handle(
             (unused, error) -> {
+              if (channel != null) {
+                gateway.callers().onAnswered(channel);
+              }
               onWriterDone(error);
               return null;
             });
@@ -128,7 +139,15 @@
 
   @Override
   public void onReady() {
-    place();
+    if (gateway.isLagging(System.nanoTime())) {
+      // The caller may have left long ago. The event loop reads that before it runs what is
+      // scheduled by a task of its own, though not always before what is scheduled here.
+      ctx.eventLoop()
+          .withoutContext()
+          .schedule(() -> later(LAG_DELAY), LAG_DELAY, TimeUnit.NANOSECONDS);
+    } else {
+      place();
+    }
   }
 
   @Override
@@ -164,7 +183,8 @@
   }
 
   private Placement placement(long now) {
-    RequestNeeds needs = new RequestNeeds(objectiveAt - now, deadlineAt - now, rule().priority());
+    RequestNeeds needs =
+        new RequestNeeds(objectiveAt - startedAt, deadlineAt - now, rule().priority());
     CallerHead told = head;
     if (isKeyed() && told != null && told.key() != null) {
       Optional<DiscoveredTarget> owner = gateway.owner(service, told.key(), now);
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -43,7 +43,7 @@
   private static final long TICK_MS = 50;
 
   /** Time between reports to the coordinator, in milliseconds. */
-  private static final long REPORT_MS = 200;
+  private static final long REPORT_MS = 250;
 
   private static final long CLEANING_MS = 1_000;
 
@@ -73,6 +73,7 @@
   private StoreView view = StoreView.unknown();
   private volatile boolean ready;
   private boolean stopping;
+  private long lastTickAt = System.nanoTime();
 
   private GatewayHost(
       GatewaySettings settings,
@@ -114,8 +115,7 @@
             state -> gateway.onFleet(state, System.nanoTime()));
     server = server(group);
     loop.execute(() -> store.follow(this::onView));
-    loop.scheduleWithFixedDelay(
-        () -> guarded(coordination::tick), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    loop.scheduleWithFixedDelay(() -> guarded(this::tick), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
     loop.scheduleWithFixedDelay(
         () -> guarded(fleet::tick), REPORT_MS, REPORT_MS, TimeUnit.MILLISECONDS);
     loop.scheduleWithFixedDelay(
@@ -174,7 +174,8 @@
   }
 
   private void completeWhenIdle(CompletableFuture<Void> idle) {
-    if (gateway.inProgress() == 0) {
+    boolean closed = gateway.callers().closeIdle();
+    if (closed && gateway.inProgress() == 0) {
       idle.complete(null);
     } else {
       loop.schedule(() -> completeWhenIdle(idle), TICK_MS, TimeUnit.MILLISECONDS);
@@ -188,6 +189,13 @@
     ready = newView.configuration() != null && !stopping;
   }
 
+  private void tick() {
+    long now = System.nanoTime();
+    gateway.onLag(now - lastTickAt - TimeUnit.MILLISECONDS.toNanos(TICK_MS), now);
+    lastTickAt = now;
+    coordination.tick();
+  }
+
   private HostReport report() {
     return new HostReport(keyCounts.drain(), book.drainSamples(), view.revision());
   }
@@ -212,6 +220,7 @@
         .http(address(settings.callerAddress()))
         .http(readyAddress)
         .workerGroup(group, false)
+        .childChannelPipelineCustomizer(gateway.callers()::onAccepted)
         .serviceUnder(
             "/",
             (ctx, request) ->
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/GatewayTest.java
@@ -147,7 +147,7 @@
 
   @Test
   void requestReachesTheTargetUnchangedAndItsAnswerTheCaller() throws Exception {
-    ScriptedTarget t = target("t", ScriptedTarget.ok("answer"));
+    final ScriptedTarget t = target("t", ScriptedTarget.ok("answer"));
     WebClient client = start(view("sheets", RangeTable.empty()));
 
     AggregatedHttpResponse response =
