Admit hosts that every member has approved, by way of the store and the links; serve metrics

Cause: on the users' platform hosts took part as soon as they ran; the product promises that a member joins only once every existing one has approved it. And a host could not be looked at from outside.

--- a/core/src/main/java/org/cowslipmoor/core/fleet/FleetAggregator.java
+++ b/core/src/main/java/org/cowslipmoor/core/fleet/FleetAggregator.java
@@ -76,7 +76,10 @@
 
   /** Returns the sums. */
   public FleetState state(
-      long now, long tableVersion, ImmutableList<FleetState.MovingRange> moving) {
+      long now,
+      long tableVersion,
+      ImmutableList<FleetState.MovingRange> moving,
+      ImmutableSet<String> candidates) {
     expire(now);
     Map<String, Integer> inFlight = new HashMap<>();
     for (Reported r : reports.values()) {
@@ -90,7 +93,7 @@
                 new FleetState.TargetState(
                     inFlight.getOrDefault(target, 0), (long) work.mean(0, 0))));
     return new FleetState(
-        Math.max(1, reports.size()), targets.buildOrThrow(), tableVersion, moving);
+        Math.max(1, reports.size()), targets.buildOrThrow(), tableVersion, moving, candidates);
   }
 
   /** Returns the load of a keyed service and the speeds of its targets. */
--- a/core/src/main/java/org/cowslipmoor/core/fleet/FleetState.java
+++ b/core/src/main/java/org/cowslipmoor/core/fleet/FleetState.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import org.cowslipmoor.core.range.KeyRange;
 
 /**
@@ -11,16 +12,18 @@
  * @param targets what is known of each target, by id
  * @param tableVersion version of the range table that {@code moving} refers to
  * @param moving ranges that are being taken back from their owners
+ * @param candidates hosts that want to join
  */
 public record FleetState(
     int hosts,
     ImmutableMap<String, TargetState> targets,
     long tableVersion,
-    ImmutableList<MovingRange> moving) {
+    ImmutableList<MovingRange> moving,
+    ImmutableSet<String> candidates) {
 
   /** The state of a fleet of which nothing is known. */
   public static final FleetState UNKNOWN =
-      new FleetState(1, ImmutableMap.of(), 0, ImmutableList.of());
+      new FleetState(1, ImmutableMap.of(), 0, ImmutableList.of(), ImmutableSet.of());
 
   /**
    * What all hosts together have seen of one target.
--- a/core/src/main/java/org/cowslipmoor/core/fleet/HostReport.java
+++ b/core/src/main/java/org/cowslipmoor/core/fleet/HostReport.java
@@ -1,6 +1,7 @@
 package org.cowslipmoor.core.fleet;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 
 /**
  * What one host has seen since its last report.
@@ -8,11 +9,13 @@
  * @param keyLoads requests by service and bucket of neighbouring keys
  * @param targets what it has seen of each target, by id
  * @param storeRevision the newest state of the store that the host knows
+ * @param approvals joining hosts that the host approves
  */
 public record HostReport(
     ImmutableMap<String, ImmutableMap<Integer, Integer>> keyLoads,
     ImmutableMap<String, TargetSample> targets,
-    long storeRevision) {
+    long storeRevision,
+    ImmutableSet<String> approvals) {
 
   /**
    * What one host has seen of one target.
--- a/core/src/test/java/org/cowslipmoor/core/admission/TargetBookTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/admission/TargetBookTest.java
@@ -7,6 +7,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -33,7 +34,8 @@
             1,
             ImmutableMap.of(id, new FleetState.TargetState(inFlight, serviceMs * MS)),
             0,
-            ImmutableList.of()),
+            ImmutableList.of(),
+            ImmutableSet.of()),
         NOW);
   }
 
@@ -95,7 +97,8 @@
                 "a", new FleetState.TargetState(0, 50 * MS),
                 "b", new FleetState.TargetState(1, 50 * MS)),
             0,
-            ImmutableList.of()),
+            ImmutableList.of(),
+            ImmutableSet.of()),
         NOW);
     List<DiscoveredTarget> both = List.of(target("a", "cairo"), target("b", "cairo"));
     book.onSend(target("a", "cairo"), NOW);
--- a/daemon/src/main/java/org/cowslipmoor/daemon/codec/FleetCodec.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/codec/FleetCodec.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.util.concurrent.TimeUnit;
 import org.cowslipmoor.core.fleet.FleetState;
 import org.cowslipmoor.core.fleet.HostReport;
@@ -22,7 +23,8 @@
   public static org.cowslipmoor.schema.fleet.HostReport encodeReport(HostReport report) {
     org.cowslipmoor.schema.fleet.HostReport.Builder message =
         org.cowslipmoor.schema.fleet.HostReport.newBuilder()
-            .setStoreRevision(report.storeRevision());
+            .setStoreRevision(report.storeRevision())
+            .addAllApprovals(report.approvals());
     report
         .keyLoads()
         .forEach(
@@ -63,7 +65,11 @@
               s.getAnswers(),
               TimeUnit.MICROSECONDS.toNanos(s.getServiceMicros())));
     }
-    return new HostReport(loads.buildOrThrow(), targets.buildOrThrow(), message.getStoreRevision());
+    return new HostReport(
+        loads.buildOrThrow(),
+        targets.buildOrThrow(),
+        message.getStoreRevision(),
+        ImmutableSet.copyOf(message.getApprovalsList()));
   }
 
   /** Converts the fleet's state to its message. */
@@ -107,7 +113,11 @@
       moving.add(new FleetState.MovingRange(m.getService(), new KeyRange(m.getFrom(), m.getTo())));
     }
     return new FleetState(
-        message.getHosts(), targets.buildOrThrow(), message.getTableVersion(), moving.build());
+        message.getHosts(),
+        targets.buildOrThrow(),
+        message.getTableVersion(),
+        moving.build(),
+        ImmutableSet.copyOf(message.getCandidatesList()));
   }
 
   private static ImmutableMap<Integer, Integer> decodeCounts(KeyLoad load) {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/Coordination.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/Coordination.java
@@ -99,6 +99,11 @@
     return coordinator != null;
   }
 
+  /** Returns the lease under which this host coordinates; null when it does not. */
+  public Leadership.@Nullable Lease lease() {
+    return leadership.leads(System.nanoTime()) ? leadership.lease() : null;
+  }
+
   /** Returns the ranges that are being taken back from their owners. */
   public ImmutableList<FleetState.MovingRange> moving() {
     RangeCoordinator c = coordinator;
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
@@ -1,6 +1,7 @@
 package org.cowslipmoor.daemon.coordination;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.net.HostAndPort;
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
@@ -12,12 +13,15 @@
 import org.cowslipmoor.core.fleet.FleetAggregator;
 import org.cowslipmoor.core.fleet.FleetState;
 import org.cowslipmoor.core.fleet.HostReport;
+import org.cowslipmoor.core.fleet.Membership;
+import org.cowslipmoor.core.range.Leadership;
 import org.cowslipmoor.core.range.ServiceLoad;
 import org.cowslipmoor.daemon.codec.FleetCodec;
 import org.cowslipmoor.daemon.member.MemberLinks;
 import org.cowslipmoor.schema.fleet.StoreNews;
 import org.cowslipmoor.schema.member.Envelope;
 import org.cowslipmoor.schema.member.Hello;
+import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
 
 /**
@@ -38,6 +42,9 @@
   private final Consumer<FleetState> onFleet;
   private final MemberLinks links;
   private final FleetAggregator aggregator = FleetAggregator.create(System.nanoTime());
+  private @Nullable Membership membership;
+  private boolean isWritingMembers;
+  private long membersRevision;
   private long settledRevision;
   private long nextSettledRevision;
   private long settleAt = System.nanoTime();
@@ -81,10 +88,14 @@
     HostReport own = report.get();
     StoreView.Coordinator coordinator = view.get().coordinator();
     if (coordination.isCoordinator()) {
-      aggregator.onReport(host, own, System.nanoTime());
+      onReport(host, own);
+      decideMembers();
       broadcast();
       relayNews();
-    } else if (coordinator != null && !coordinator.host().equals(host)) {
+      return;
+    }
+    membership = null;
+    if (coordinator != null && !coordinator.host().equals(host)) {
       Envelope frame = Envelope.newBuilder().setHostReport(FleetCodec.encodeReport(own)).build();
       links.send(coordinator.host(), frame);
     }
@@ -110,9 +121,7 @@
   public void onFrame(String from, Envelope frame) {
     try {
       switch (frame.getContentCase()) {
-        case HOST_REPORT ->
-            aggregator.onReport(
-                from, FleetCodec.decodeReport(frame.getHostReport()), System.nanoTime());
+        case HOST_REPORT -> onReport(from, FleetCodec.decodeReport(frame.getHostReport()));
         case FLEET_STATE -> onFleet.accept(FleetCodec.decodeState(frame.getFleetState()));
         case STORE_NEWS -> store.onRelayedNews(frame.getStoreNews());
         default -> Logger.debug("host {} sent a frame of no use here", from);
@@ -122,9 +131,54 @@
     }
   }
 
+  private void onReport(String from, HostReport hostReport) {
+    long now = System.nanoTime();
+    aggregator.onReport(from, hostReport, now);
+    if (membership != null) {
+      membership.onReport(from, hostReport.approvals(), now);
+    }
+  }
+
+  private void decideMembers() {
+    long now = System.nanoTime();
+    StoreView v = view.get();
+    Leadership.Lease lease = coordination.lease();
+    Membership m = membership;
+    if (m == null) {
+      membersRevision = v.membersRevision();
+      membership = Membership.begin(v.members(), host, now);
+      return;
+    }
+    Optional<ImmutableSet<String>> next = m.next(now);
+    if (lease == null || isWritingMembers || next.isEmpty()) {
+      return;
+    }
+    isWritingMembers = true;
+    store
+        .writeMembers(next.get(), membersRevision, lease)
+        .thenAccept(
+            result -> {
+              isWritingMembers = false;
+              if (result.result() == SharedStore.CallResult.DONE) {
+                Logger.info("the members are now {}", next.get());
+                membersRevision = result.revision();
+                m.onWritten(next.get());
+              } else {
+                // What the store has is taken up again with the next state that is read from it.
+                Logger.warn("the members may not be in the store");
+                membership = null;
+              }
+            });
+  }
+
   private void broadcast() {
     long now = System.nanoTime();
-    FleetState state = aggregator.state(now, coordination.tableVersion(), coordination.moving());
+    FleetState state =
+        aggregator.state(
+            now,
+            coordination.tableVersion(),
+            coordination.moving(),
+            membership == null ? ImmutableSet.of() : membership.candidates(now));
     Envelope frame = Envelope.newBuilder().setFleetState(FleetCodec.encodeState(state)).build();
     for (String other : aggregator.hosts(now).keySet()) {
       if (!other.equals(host)) {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/SharedStore.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/SharedStore.java
@@ -1,5 +1,6 @@
 package org.cowslipmoor.daemon.coordination;
 
+import com.google.common.collect.ImmutableSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.cowslipmoor.core.range.Leadership;
@@ -37,6 +38,10 @@
    */
   CompletableFuture<WriteResult> write(RangeTable table, long revision, Leadership.Lease lease);
 
+  /** Writes the members under the same kind of condition. */
+  CompletableFuture<WriteResult> writeMembers(
+      ImmutableSet<String> members, long revision, Leadership.Lease lease);
+
   /** Reads the table of key ranges and its revision. */
   CompletableFuture<TableResult> readTable();
 
@@ -61,8 +66,8 @@
   /**
    * How a write ended.
    *
-   * @param result whether the table is in the store
-   * @param revision the table's revision there; 0 unless it is
+   * @param result whether the new content is in the store
+   * @param revision its revision there; 0 unless it is
    */
   record WriteResult(CallResult result, long revision) {}
 
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/StoreView.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/StoreView.java
@@ -1,5 +1,6 @@
 package org.cowslipmoor.daemon.coordination;
 
+import com.google.common.collect.ImmutableSet;
 import org.cowslipmoor.core.discovery.TargetDirectory;
 import org.cowslipmoor.core.range.RangeTable;
 import org.cowslipmoor.core.routing.RoutingConfiguration;
@@ -13,6 +14,8 @@
  * @param table who holds which keys
  * @param tableRevision the store's mark of that table, for a conditional write; 0 when there is
  *     none
+ * @param members ids of the hosts that are members; empty before the first one
+ * @param membersRevision the store's mark of the members; 0 when there are none
  * @param coordinator the host that coordinates; null when none does
  * @param isLoaded whether the store was read at all
  * @param revision the newest state of the store that is known
@@ -22,6 +25,8 @@
     TargetDirectory directory,
     RangeTable table,
     long tableRevision,
+    ImmutableSet<String> members,
+    long membersRevision,
     @Nullable Coordinator coordinator,
     boolean isLoaded,
     long revision) {
@@ -36,6 +41,7 @@
 
   /** Returns the view of a host that knows nothing. */
   public static StoreView unknown() {
-    return new StoreView(null, TargetDirectory.empty(), RangeTable.empty(), 0, null, false, 0);
+    return new StoreView(
+        null, TargetDirectory.empty(), RangeTable.empty(), 0, ImmutableSet.of(), 0, null, false, 0);
   }
 }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
@@ -1,9 +1,12 @@
 package org.cowslipmoor.daemon.gateway;
 
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import com.google.common.collect.ImmutableSet;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.cowslipmoor.core.admission.TargetBook;
@@ -12,7 +15,9 @@
 import org.cowslipmoor.core.fleet.FleetState;
 import org.cowslipmoor.core.range.KeyCounts;
 import org.cowslipmoor.core.range.RangeEntry;
+import org.cowslipmoor.core.request.ResultCode;
 import org.cowslipmoor.core.request.RetryBudget;
+import org.cowslipmoor.core.routing.RoutingConfiguration;
 import org.cowslipmoor.core.routing.SplitSelector;
 import org.cowslipmoor.daemon.coordination.StoreView;
 import org.cowslipmoor.daemon.http.HttpConnections;
@@ -40,6 +45,7 @@
   private final Map<String, Long> drainingSince = new HashMap<>();
   private final CallerConnections callers = new CallerConnections();
   private FleetState fleet = FleetState.UNKNOWN;
+  private boolean member;
   private boolean stopping;
   private int inProgress;
   private long laggingUntil = System.nanoTime() + LAG_MEMORY;
@@ -70,6 +76,10 @@
     this.keyCounts = keyCounts;
     this.retryLimits = retryLimits;
     this.metrics = metrics;
+    gauge(GatewayMetric.IN_PROGRESS, () -> inProgress);
+    gauge(GatewayMetric.RANGE_TABLE, () -> view.get().table().version());
+    gauge(GatewayMetric.TARGETS, () -> view.get().directory().all().size());
+    gauge(GatewayMetric.CONFIGURATION, this::configurationVersion);
   }
 
   /** Takes what the store newly says. */
@@ -92,6 +102,20 @@
     book.onFleet(newState, now);
   }
 
+  /** Notes whether every member has approved this host. */
+  public void onMembership(boolean isMember) {
+    member = isMember;
+  }
+
+  /** Returns the joining hosts, each of which this host approves without a person. */
+  public ImmutableSet<String> candidates() {
+    return fleet.candidates();
+  }
+
+  boolean isMember() {
+    return member;
+  }
+
   /** Ends each connection of a caller with its next answer, since the host is about to stop. */
   public void stop() {
     stopping = true;
@@ -136,8 +160,18 @@
         .filter(t -> !t.draining() || now - drainingSince.getOrDefault(t.id(), now) < DRAIN_NANOS);
   }
 
+  private long configurationVersion() {
+    RoutingConfiguration c = view.get().configuration();
+    return c == null ? 0 : c.version();
+  }
+
+  private void gauge(GatewayMetric metric, Gauge<?> gauge) {
+    metrics.registerGauge(metric.name(), gauge);
+  }
+
   void begin() {
     inProgress++;
+    count(GatewayMetric.REQUESTS);
   }
 
   void end() {
@@ -177,7 +211,16 @@
         service, unused -> RetryBudget.of(retryLimits.share(), retryLimits.reserve()));
   }
 
-  void count(String name) {
-    metrics.counter(name).inc();
+  void count(GatewayMetric metric) {
+    metrics.counter(metric.name()).inc();
+  }
+
+  void countRefusal(ResultCode code) {
+    metrics.counter(MetricRegistry.name(GatewayMetric.REFUSALS.name(), "" + code.number())).inc();
+  }
+
+  void noteAnswer(long nanos) {
+    metrics.counter(GatewayMetric.ANSWERS.name()).inc();
+    metrics.timer(GatewayMetric.ANSWER_SECONDS.name()).update(nanos, TimeUnit.NANOSECONDS);
   }
 }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
@@ -96,6 +96,10 @@
       refuse(ResultCode.NO_CONFIGURATION, "no configuration is known yet", START_RETRY);
       return;
     }
+    if (!gateway.isMember()) {
+      refuse(ResultCode.NOT_ADMITTED, "not every member has approved this host yet", START_RETRY);
+      return;
+    }
     try {
       head = gateway.dialect().readCaller(request.headers());
     } catch (IllegalArgumentException e) {
@@ -244,14 +248,14 @@
     long now = System.nanoTime();
     if (failed.isMisdirected() && mayRetry(failed, now)) {
       retryGranted = false;
-      gateway.count("retries");
+      gateway.count(GatewayMetric.RETRIES);
       ownerWaitUntil = ownerWaitUntil == 0 ? now + OWNER_WAIT : ownerWaitUntil;
       later(RESEND_DELAY);
       return;
     }
     if (placement(now) instanceof Placement.Send next && mayRetry(failed, now)) {
       retryGranted = false;
-      gateway.count("retries");
+      gateway.count(GatewayMetric.RETRIES);
       send(next);
       return;
     }
@@ -298,13 +302,13 @@
 
   /** Takes the end of the answer that was passed on. */
   void onAnswered() {
-    gateway.count("answers");
+    gateway.noteAnswer(System.nanoTime() - startedAt);
     finish();
   }
 
   /** Takes the news that the answer that was passed on broke off. */
   void onAnswerCut() {
-    gateway.count("answers.cut");
+    gateway.count(GatewayMetric.ANSWERS_CUT);
     finish();
   }
 
@@ -334,7 +338,7 @@
       return;
     }
     if (error != null) {
-      gateway.count("callers.gone");
+      gateway.count(GatewayMetric.CALLERS_GONE);
     }
     breakOff();
   }
@@ -357,7 +361,7 @@
     // A repeatable request may have run in an earlier attempt: "not run" would not be true.
     boolean unknown = mayHaveRun && code.effect() == ResultCode.Effect.NOT_RUN;
     ResultCode told = unknown ? ResultCode.TARGET_FAILED : code;
-    gateway.count("refusals." + told.number());
+    gateway.countRefusal(told);
     Logger.debug("request {} to {} is refused with {}: {}", requestId, service, told, reason);
     finish();
     ResponseHeadersBuilder headers = Refusals.headers(told);
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -34,6 +34,7 @@
  * event loop, since a host has one core.
  */
 public final class GatewayHost {
+  private static final String METRICS_PATH = "/metrics";
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
 
   /** Longest time that an unused connection to a target is kept when the target tells nothing. */
@@ -69,6 +70,7 @@
   private final KeyCounts keyCounts;
   private final FleetExchange fleet;
   private final TargetBook book;
+  private final MetricsPage page;
   private final Server server;
   private StoreView view = StoreView.unknown();
   private volatile boolean ready;
@@ -113,6 +115,9 @@
             () -> view,
             this::report,
             state -> gateway.onFleet(state, System.nanoTime()));
+    metrics.registerGauge(
+        GatewayMetric.COORDINATOR.name(), () -> coordination.isCoordinator() ? 1 : 0);
+    page = new MetricsPage(metrics);
     server = server(group);
     loop.execute(() -> store.follow(this::onView));
     loop.scheduleWithFixedDelay(() -> guarded(this::tick), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
@@ -186,7 +191,9 @@
     view = newView;
     gateway.onView(newView, System.nanoTime());
     fleet.onView(newView);
-    ready = newView.configuration() != null && !stopping;
+    boolean member = newView.members().contains(settings.host());
+    gateway.onMembership(member);
+    ready = newView.configuration() != null && member && !stopping;
   }
 
   private void tick() {
@@ -197,7 +204,8 @@
   }
 
   private HostReport report() {
-    return new HostReport(keyCounts.drain(), book.drainSamples(), view.revision());
+    return new HostReport(
+        keyCounts.drain(), book.drainSamples(), view.revision(), gateway.candidates());
   }
 
   private ServiceLoad load(String service) {
@@ -215,18 +223,23 @@
 
   private Server server(EventLoopGroup group) {
     InetSocketAddress readyAddress = address(settings.readyAddress());
+    int metricsPort = address(settings.metricsAddress()).getPort();
     GatewayService service = new GatewayService(gateway);
     return Server.builder()
         .http(address(settings.callerAddress()))
         .http(readyAddress)
+        .http(address(settings.metricsAddress()))
         .workerGroup(group, false)
         .childChannelPipelineCustomizer(gateway.callers()::onAccepted)
         .serviceUnder(
             "/",
-            (ctx, request) ->
-                ctx.localAddress().getPort() == readyAddress.getPort()
-                    ? answerBalancer(request)
-                    : service.serve(ctx, request))
+            (ctx, request) -> {
+              int port = ctx.localAddress().getPort();
+              if (port == readyAddress.getPort()) {
+                return answerBalancer(request);
+              }
+              return port == metricsPort ? metrics(request) : service.serve(ctx, request);
+            })
         .requestTimeoutMillis(0)
         .maxRequestLength(0)
         .idleTimeout(CALLER_IDLE_LIMIT)
@@ -242,6 +255,12 @@
     return HttpResponse.of(ready ? HttpStatus.OK : HttpStatus.SERVICE_UNAVAILABLE);
   }
 
+  private HttpResponse metrics(HttpRequest request) {
+    return request.path().equals(METRICS_PATH)
+        ? HttpResponse.of(page.render())
+        : HttpResponse.of(HttpStatus.NOT_FOUND);
+  }
+
   private static InetSocketAddress address(String text) {
     HostAndPort address = HostAndPort.fromString(text);
     return new InetSocketAddress(address.getHost(), address.getPort());
--- /dev/null
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayMetric.java
@@ -0,0 +1,35 @@
+package org.cowslipmoor.daemon.gateway;
+
+/** The metrics of a host that routes by configuration, as scrapers see them. */
+enum GatewayMetric {
+  REQUESTS("cowslipmoor_requests_total", "Requests taken from callers."),
+  ANSWERS("cowslipmoor_answers_total", "Answers of targets passed on to their end."),
+  ANSWERS_CUT("cowslipmoor_answers_cut_total", "Answers that broke off on their way."),
+  RETRIES("cowslipmoor_retries_total", "Requests sent once more."),
+  REFUSALS("cowslipmoor_refusals_total", "Requests refused, by result code."),
+  CALLERS_GONE("cowslipmoor_callers_gone_total", "Callers that left before their answer."),
+  ANSWER_SECONDS("cowslipmoor_answer_seconds", "Time from a request to its answer's end."),
+  IN_PROGRESS("cowslipmoor_requests_in_progress", "Requests in progress."),
+  CONFIGURATION("cowslipmoor_configuration_version", "Version of the configuration in force."),
+  RANGE_TABLE("cowslipmoor_range_table_version", "Version of the table of key ranges in force."),
+  TARGETS("cowslipmoor_targets", "Targets that are known."),
+  COORDINATOR("cowslipmoor_coordinator", "Whether this host coordinates: 1 or 0.");
+
+  private final String exposedName;
+  private final String help;
+
+  GatewayMetric(String exposedName, String help) {
+    this.exposedName = exposedName;
+    this.help = help;
+  }
+
+  /** Returns the name that scrapers see. */
+  String exposedName() {
+    return exposedName;
+  }
+
+  /** Returns a line that says what is measured, and in which unit. */
+  String help() {
+    return help;
+  }
+}
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewaySettings.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewaySettings.java
@@ -11,6 +11,7 @@
  * @param readyAddress where the balancer asks whether the host is ready, as {@code ip:port}
  * @param linkAddress where other hosts connect, as {@code ip:port}
  * @param readyPath path of that question
+ * @param metricsAddress where metrics are served under {@code /metrics}, as {@code ip:port}
  * @param leaseMillis duration of the coordinator's lease in milliseconds
  * @param longestHoldMillis longest hold of a grant in milliseconds
  * @param graceMillis milliseconds between the request to stop and the end at the latest
@@ -24,6 +25,7 @@
     String readyAddress,
     String linkAddress,
     String readyPath,
+    String metricsAddress,
     long leaseMillis,
     long longestHoldMillis,
     long graceMillis,
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/FixedStore.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/FixedStore.java
@@ -1,5 +1,6 @@
 package org.cowslipmoor.daemon.gateway;
 
+import com.google.common.collect.ImmutableSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.cowslipmoor.core.range.Leadership;
@@ -44,6 +45,12 @@
     return CompletableFuture.completedFuture(new WriteResult(CallResult.UNKNOWN, 0));
   }
 
+  @Override
+  public CompletableFuture<WriteResult> writeMembers(
+      ImmutableSet<String> members, long revision, Leadership.Lease lease) {
+    return CompletableFuture.completedFuture(new WriteResult(CallResult.UNKNOWN, 0));
+  }
+
   @Override
   public CompletableFuture<TableResult> readTable() {
     return CompletableFuture.completedFuture(new TableResult(false, RangeTable.empty(), 0));
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/GatewayTest.java
@@ -10,6 +10,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpData;
@@ -50,6 +51,8 @@
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final List<ScriptedTarget> targets = new ArrayList<>();
   private GatewayHost host;
+  private WebClient metrics;
+  private ImmutableSet<String> members = ImmutableSet.of("host-1");
 
   @AfterEach
   void close() throws Exception {
@@ -96,11 +99,12 @@
 
   private StoreView view(String service, RangeTable table) {
     List<DiscoveredTarget> announced = targets.stream().map(t -> t.announced(service)).toList();
-    return new StoreView(configuration(), TargetDirectory.of(announced), table, 1, null, true, 1);
+    return new StoreView(
+        configuration(), TargetDirectory.of(announced), table, 1, members, 1, null, true, 1);
   }
 
   private WebClient start(StoreView view) throws Exception {
-    int[] ports = new int[3];
+    int[] ports = new int[4];
     for (int i = 0; i < ports.length; i++) {
       try (ServerSocket free = new ServerSocket(0)) {
         ports[i] = free.getLocalPort();
@@ -114,6 +118,7 @@
             "127.0.0.1:" + ports[1],
             "127.0.0.1:" + ports[2],
             "/ready",
+            "127.0.0.1:" + ports[3],
             1_500,
             10_000,
             600,
@@ -128,6 +133,7 @@
             new NoOrders(),
             new PlainDialect(),
             new SplittableRandom(1));
+    metrics = WebClient.of("h1c://127.0.0.1:" + ports[3]);
     return WebClient.of("h1c://127.0.0.1:" + ports[0]);
   }
 
@@ -262,6 +268,35 @@
     assertThat(send(client, HttpMethod.GET, "/safe/a", "").status().code(), is(503));
   }
 
+  @Test
+  void metricsCountAnswersAndRefusalsByCode() throws Exception {
+    target("t", ScriptedTarget.ok("x"));
+    WebClient client = start(view("sheets", RangeTable.empty()));
+    send(client, HttpMethod.GET, "/safe/a", "");
+    send(client, HttpMethod.GET, "/other/a", "");
+
+    String page = metrics.get("/metrics").aggregate().join().contentUtf8();
+
+    assertThat(page, containsString("# TYPE cowslipmoor_requests_total counter\n"));
+    assertThat(page, containsString("cowslipmoor_requests_total 2\n"));
+    assertThat(page, containsString("cowslipmoor_answers_total 1\n"));
+    assertThat(page, containsString("cowslipmoor_refusals_total{code=\"1016\"} 1\n"));
+    assertThat(page, containsString("cowslipmoor_configuration_version 1\n"));
+    assertThat(page, containsString("cowslipmoor_answer_seconds_count 1\n"));
+  }
+
+  @Test
+  void hostThatNotEveryMemberHasApprovedRefuses() throws Exception {
+    members = ImmutableSet.of("host-2");
+    final ScriptedTarget t = target("t", ScriptedTarget.ok("x"));
+    WebClient client = start(view("sheets", RangeTable.empty()));
+
+    AggregatedHttpResponse response = send(client, HttpMethod.GET, "/safe/a", "");
+
+    assertThat(response.headers().get("cowslipmoor-result"), is("1017"));
+    assertThat(t.requests, hasSize(0));
+  }
+
   @Test
   void requestWithoutRouteIsNotFound() throws Exception {
     target("t", ScriptedTarget.ok("x"));
