Keep one owner when a target comes back after its release, and tell hosts of those that join

Ruled out: (1) a late grant of the former coordinator (its fence is lower than the one that was held); (2) missing reports (all hosts were heard). Change: a new grant takes back the release; the codec carries all fields; new requests are refused as not run 2.3 s before the grace ends.

--- a/core/src/main/java/org/cowslipmoor/core/fleet/Membership.java
+++ b/core/src/main/java/org/cowslipmoor/core/fleet/Membership.java
@@ -60,6 +60,14 @@
         .collect(ImmutableSet.toImmutableSet());
   }
 
+  /** Returns the members that have not approved all joining hosts yet. */
+  public ImmutableSet<String> missingApprovals(long now) {
+    ImmutableSet<String> joining = candidates(now);
+    return members.stream()
+        .filter(m -> !approvals.getOrDefault(m, ImmutableSet.of()).containsAll(joining))
+        .collect(ImmutableSet.toImmutableSet());
+  }
+
   /** Returns the members that the store should list instead; empty while they are right. */
   public Optional<ImmutableSet<String>> next(long now) {
     if (members.isEmpty()) {
--- a/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
@@ -184,6 +184,9 @@
       }
     } else if (now - h.nextGrantAt >= 0) {
       h.isGrantInFlight = true;
+      // What it released before, it is about to hold again.
+      h.isReleased = false;
+      h.handover = null;
       h.holdInFlight = hold;
       actions.add(new RangeAction.Grant(h.entry, hold));
     }
--- a/core/src/test/java/org/cowslipmoor/core/range/RangeOwnershipProperties.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/RangeOwnershipProperties.java
@@ -33,6 +33,21 @@
     assertThat(world.servedShare(), is(1.0));
   }
 
+  /** Answers targets behind a cut: they release late, for the former coordinator, and come back. */
+  @Property(tries = 30, seed = "20261204")
+  void targetThatComesBackAfterItsReleaseKeepsOneOwner(@ForAll long seed) {
+    RangeWorld world = new RangeWorld(seed, 4, 0, 1);
+    world.run(2_000 * RangeWorld.MS);
+    world.vanish("t1");
+    world.replaceCoordinator();
+    world.run(1_000 * RangeWorld.MS + Math.floorMod(seed, 2_000) * RangeWorld.MS);
+    world.reappear("t1");
+    world.run(15_000 * RangeWorld.MS);
+
+    assertThat(world.violations, is(0));
+    assertThat(world.servedShare(), is(1.0));
+  }
+
   /** The check itself finds targets that hold keys for longer than they were granted. */
   @Property(tries = 1, seed = "20261204")
   void targetsThatHoldTooLongAreFound() {
@@ -52,13 +67,14 @@
       List<String> ids = new ArrayList<>(world.targets.keySet());
       ids.sort(null);
       String id = ids.get(random.nextInt(ids.size()));
-      switch (random.nextInt(7)) {
+      switch (random.nextInt(8)) {
         case 0 -> world.drain(id);
         case 1 -> world.crash(id);
         case 2 -> world.restart(id);
         case 3 -> world.vanish(id);
         case 4 -> world.addTarget("new" + i);
         case 5 -> world.replaceCoordinator();
+        case 6 -> world.reappear(id);
         default -> {
           // Time passes without a fault.
         }
--- a/core/src/test/java/org/cowslipmoor/core/range/RangeWorld.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/RangeWorld.java
@@ -110,6 +110,12 @@
     targets.get(id).announcing = false;
   }
 
+  /** The entry of a target that never ended is back. */
+  void reappear(String id) {
+    FakeTarget t = targets.get(id);
+    t.announcing |= t.running;
+  }
+
   /** Another host takes the coordination over. */
   void replaceCoordinator() {
     coordinator = RangeCoordinator.begin(stored, timing, now);
--- a/daemon/src/main/java/org/cowslipmoor/daemon/codec/FleetCodec.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/codec/FleetCodec.java
@@ -75,7 +75,10 @@
   /** Converts the fleet's state to its message. */
   public static org.cowslipmoor.schema.fleet.FleetState encodeState(FleetState state) {
     org.cowslipmoor.schema.fleet.FleetState.Builder message =
-        org.cowslipmoor.schema.fleet.FleetState.newBuilder().setTableVersion(state.tableVersion());
+        org.cowslipmoor.schema.fleet.FleetState.newBuilder()
+            .setHosts(state.hosts())
+            .setTableVersion(state.tableVersion())
+            .addAllCandidates(state.candidates());
     state
         .targets()
         .forEach(
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
@@ -34,6 +34,9 @@
   /** State of the store that a host may lack before it is sent the news, in nanoseconds. */
   private static final long RELAY_DELAY = 400_000_000L;
 
+  /** Least time between two log lines about hosts that wait to join, in nanoseconds. */
+  private static final long WAIT_LOG_PAUSE = 2_000_000_000L;
+
   private final String host;
   private final SharedStore store;
   private final Coordination coordination;
@@ -44,6 +47,7 @@
   private final FleetAggregator aggregator = FleetAggregator.create(System.nanoTime());
   private @Nullable Membership membership;
   private boolean isWritingMembers;
+  private long waitLoggedAt = System.nanoTime() - WAIT_LOG_PAUSE;
   private long membersRevision;
   private long settledRevision;
   private long nextSettledRevision;
@@ -150,6 +154,10 @@
       return;
     }
     Optional<ImmutableSet<String>> next = m.next(now);
+    if (next.isEmpty() && !m.candidates(now).isEmpty() && now - waitLoggedAt >= WAIT_LOG_PAUSE) {
+      waitLoggedAt = now;
+      Logger.info("hosts {} join once {} approve them", m.candidates(now), m.missingApprovals(now));
+    }
     if (lease == null || isWritingMembers || next.isEmpty()) {
       return;
     }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
@@ -47,6 +47,7 @@
   private FleetState fleet = FleetState.UNKNOWN;
   private boolean member;
   private boolean stopping;
+  private boolean refusing;
   private int inProgress;
   private long laggingUntil = System.nanoTime() + LAG_MEMORY;
 
@@ -138,6 +139,15 @@
     return callers;
   }
 
+  /** Refuses new requests from now on, so that those in progress can end within the grace. */
+  public void refuseNew() {
+    refusing = true;
+  }
+
+  boolean isRefusing() {
+    return refusing;
+  }
+
   /** Returns the number of requests in progress. */
   public int inProgress() {
     return inProgress;
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
@@ -43,6 +43,9 @@
 
   private static final long START_RETRY = 500 * MS;
 
+  /** Time after which a caller may try another host. */
+  private static final long STOP_RETRY = 50 * MS;
+
   private final Gateway gateway;
   private final ServiceRequestContext ctx;
   private final HttpRequest request;
@@ -91,6 +94,10 @@
               onWriterDone(error);
               return null;
             });
+    if (gateway.isRefusing()) {
+      refuse(ResultCode.STOPPING, "the host is about to end", STOP_RETRY);
+      return;
+    }
     RoutingConfiguration configuration = gateway.view().configuration();
     if (configuration == null) {
       refuse(ResultCode.NO_CONFIGURATION, "no configuration is known yet", START_RETRY);
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -60,6 +60,12 @@
   /** Time for which the balancer may still send new connections to a host that is not ready. */
   private static final long BALANCER_LAG_MS = 2_800;
 
+  /**
+   * Part of the grace that is left for the requests in progress. A balancer that has no other host
+   * goes on sending to one that is not ready.
+   */
+  private static final long LAST_REQUESTS_MS = 2_300;
+
   /** Part of the grace that is left for the end of the process. */
   private static final long END_MS = 500;
 
@@ -165,6 +171,8 @@
         });
     CompletableFuture<Void> idle = new CompletableFuture<>();
     loop.schedule(() -> completeWhenIdle(idle), BALANCER_LAG_MS, TimeUnit.MILLISECONDS);
+    loop.schedule(
+        gateway::refuseNew, settings.graceMillis() - LAST_REQUESTS_MS, TimeUnit.MILLISECONDS);
     long limit = settings.graceMillis() - END_MS;
     try {
       idle.get(limit, TimeUnit.MILLISECONDS);
