--- a/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnections.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnections.java
@@ -18,6 +18,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import jdk.net.ExtendedSocketOptions;
 import org.jspecify.annotations.Nullable;
 
@@ -31,6 +32,11 @@
   /** Probes without an answer after which a connection is taken to be dead. */
   private static final int PROBES = 2;
 
+  /** Time for a connection to open from which this host is taken to lag. */
+  private static final long SLOW_CONNECT_NANOS = 100_000_000L;
+
+  private static final long SLOW_CONNECT_DELAY_MS = 2;
+
   private final EventLoop loop;
   private final Bootstrap bootstrap;
   private final long idleLimitNanos;
@@ -136,14 +142,30 @@
                   new HttpClientCodec(
                       new HttpDecoderConfig().setMaxHeaderSize(MAX_HEAD_BYTES), false, false))
               .addLast(c);
-          if (exchange.isOver()) {
-            onFree(c, true);
+          if (System.nanoTime() - startedAt < SLOW_CONNECT_NANOS) {
+            begin(c, exchange);
           } else {
-            c.start(exchange);
+            // The host may have lagged meanwhile, and the caller have left: that is read first. One
+            // delay can end within this very pass of the event loop, two can't.
+            later(() -> later(() -> begin(c, exchange)));
           }
         });
   }
 
+  private void begin(HttpConnection c, Exchange exchange) {
+    if (exchange.isOver()) {
+      onFree(c, c.isFresh(System.nanoTime()));
+    } else if (!c.isFresh(System.nanoTime())) {
+      exchange.fail(ExchangeFailure.NOT_SENT);
+    } else {
+      c.start(exchange);
+    }
+  }
+
+  private void later(Runnable work) {
+    loop.schedule(work, SLOW_CONNECT_DELAY_MS, TimeUnit.MILLISECONDS);
+  }
+
   private void onFree(HttpConnection c, boolean mayBeReused) {
     if (mayBeReused) {
       idle.computeIfAbsent(c.address(), unused -> new ArrayDeque<>()).addLast(c);
