--- a/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnections.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnections.java
@@ -127,6 +127,7 @@
 
   private void connect(String address, Exchange exchange) {
     HostAndPort to = HostAndPort.fromString(address);
+    final long startedAt = System.nanoTime();
     ChannelFuture connecting = bootstrap.connect(new InetSocketAddress(to.getHost(), to.getPort()));
     connecting.addListener(
         unused -> {
