Ask the store often while no other host would tell that a watch hangs

Ruled out: the relay of news (it works while the coordinator is heard), the decoding (other hosts had version 7).

--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/SharedStore.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/SharedStore.java
@@ -17,6 +17,12 @@
   /** Begins to follow the store; the consumer is called with each change. */
   void follow(Consumer<StoreView> onChange);
 
+  /**
+   * Tells whether news may reach this host by no other way than its own watch, which may wait on a
+   * connection that has gone silent; while that is so, the store is asked often.
+   */
+  void setDoubtful(boolean doubtful);
+
   /** Returns what was written after a revision, for a host that can't reach the store. */
   StoreNews newsSince(long revision);
 
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.random.RandomGenerator;
 import org.cowslipmoor.core.admission.TargetBook;
+import org.cowslipmoor.core.fleet.FleetState;
 import org.cowslipmoor.core.fleet.HostReport;
 import org.cowslipmoor.core.range.KeyCounts;
 import org.cowslipmoor.core.range.Leadership;
@@ -43,6 +44,9 @@
   private static final Duration CALLER_IDLE_LIMIT = Duration.ofSeconds(60);
   private static final long TICK_MS = 50;
 
+  /** Silence of the coordinator after which it is not relied on for the store's news. */
+  private static final long FLEET_SILENCE_NANOS = 900_000_000L;
+
   /** Time between reports to the coordinator, in milliseconds. */
   private static final long REPORT_MS = 250;
 
@@ -71,6 +75,7 @@
 
   private final GatewaySettings settings;
   private final EventLoop loop;
+  private final SharedStore store;
   private final Gateway gateway;
   private final Coordination coordination;
   private final KeyCounts keyCounts;
@@ -81,6 +86,7 @@
   private StoreView view = StoreView.unknown();
   private volatile boolean ready;
   private boolean stopping;
+  private long fleetHeardAt = System.nanoTime();
   private long lastTickAt = System.nanoTime();
 
   private GatewayHost(
@@ -93,6 +99,7 @@
       RandomGenerator random) {
     this.settings = settings;
     this.loop = loop;
+    this.store = store;
     MetricRegistry metrics = new MetricRegistry();
     HttpConnections connections = new HttpConnections(loop, CONNECT_TIMEOUT, IDLE_LIMIT);
     book = TargetBook.create(settings.dataCentre(), CONNECTION_SHARE, random);
@@ -120,7 +127,7 @@
             coordination,
             () -> view,
             this::report,
-            state -> gateway.onFleet(state, System.nanoTime()));
+            this::onFleet);
     metrics.registerGauge(
         GatewayMetric.COORDINATOR.name(), () -> coordination.isCoordinator() ? 1 : 0);
     page = new MetricsPage(metrics);
@@ -204,11 +211,17 @@
     ready = newView.configuration() != null && member && !stopping;
   }
 
+  private void onFleet(FleetState state) {
+    fleetHeardAt = System.nanoTime();
+    gateway.onFleet(state, fleetHeardAt);
+  }
+
   private void tick() {
     long now = System.nanoTime();
     gateway.onLag(now - lastTickAt - TimeUnit.MILLISECONDS.toNanos(TICK_MS), now);
     lastTickAt = now;
     coordination.tick();
+    store.setDoubtful(coordination.isCoordinator() || now - fleetHeardAt >= FLEET_SILENCE_NANOS);
   }
 
   private HostReport report() {
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/FixedStore.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/FixedStore.java
@@ -16,6 +16,9 @@
     onChange.accept(view);
   }
 
+  @Override
+  public void setDoubtful(boolean doubtful) {}
+
   @Override
   public StoreNews newsSince(long revision) {
     return StoreNews.getDefaultInstance();
