--- a/core/src/main/java/org/cowslipmoor/core/admission/TargetBook.java
+++ b/core/src/main/java/org/cowslipmoor/core/admission/TargetBook.java
@@ -108,10 +108,10 @@
     double bestCost = Double.MAX_VALUE;
     int equals = 0;
     for (DiscoveredTarget t : usable) {
-      double cost = mirroredQueueNanos(t, now) + serviceNanos(t) + remoteCost(t);
       if (!hasRoom(t, now)) {
         continue;
       }
+      double cost = mirroredQueueNanos(t, now) + serviceNanos(t) + remoteCost(t);
       if (cost < bestCost) {
         best = t;
         bestCost = cost;
@@ -208,12 +208,6 @@
         serviceNanos(target) / MS);
   }
 
-  /** Returns the requests of this host at a target. */
-  public int inFlight(String target) {
-    Seen s = seen.get(target);
-    return s == null ? 0 : s.inFlight;
-  }
-
   /** Returns what was seen of each target since the last call. */
   public ImmutableMap<String, HostReport.TargetSample> drainSamples() {
     ImmutableMap.Builder<String, HostReport.TargetSample> samples = ImmutableMap.builder();
@@ -264,8 +258,7 @@
 
   /** Returns the nanoseconds that a request would wait at a target for a slot. */
   double queueNanos(DiscoveredTarget target, long now) {
-    double ahead = load(target, now) + 1 - target.slots();
-    return ahead <= 0 ? 0 : ahead * serviceNanos(target) / target.slots();
+    return waitNanos(target, load(target, now));
   }
 
   /**
@@ -276,7 +269,11 @@
   private double mirroredQueueNanos(DiscoveredTarget target, long now) {
     Seen s = of(target);
     double unseen = (hosts - 1) * (double) Math.max(0, s.inFlight - s.ownWhenTold);
-    double ahead = load(target, now) + unseen + 1 - target.slots();
+    return waitNanos(target, load(target, now) + unseen);
+  }
+
+  private double waitNanos(DiscoveredTarget target, double load) {
+    double ahead = load + 1 - target.slots();
     return ahead <= 0 ? 0 : ahead * serviceNanos(target) / target.slots();
   }
 
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
@@ -116,11 +116,6 @@
     aggregator.retain(newView.directory().all().keySet());
   }
 
-  /** Closes the links. */
-  public void close() {
-    links.close();
-  }
-
   @Override
   public void onFrame(String from, Envelope frame) {
     try {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Attempt.java
@@ -107,24 +107,16 @@
   /** Ends the attempt, since nobody waits for it any more. */
   void cancel() {
     if (!over) {
-      over = true;
-      stopPatience();
       gateway.book().onCancelled(target);
-      if (exchange != null) {
-        exchange.cancel();
-      }
+      breakOff();
     }
   }
 
   /** Ends the attempt, since the target did not answer in time. */
   void cancelLate() {
     if (!over) {
-      over = true;
-      stopPatience();
       gateway.book().onFailure(target, System.nanoTime());
-      if (exchange != null) {
-        exchange.cancel();
-      }
+      breakOff();
     }
   }
 
@@ -232,15 +224,21 @@
     if (!owner.maySwitch(this, System.nanoTime())) {
       return;
     }
-    over = true;
     outcome = "no answer for " + (System.nanoTime() - startedAt) / MS + " ms";
-    gateway.book().onFailure(target, System.nanoTime());
-    exchange().cancel();
+    cancelLate();
     // Connections that went silent together with this one would delay the next requests.
     gateway.connections().forget(target.address());
     owner.onAttemptFailed(this);
   }
 
+  private void breakOff() {
+    over = true;
+    stopPatience();
+    if (exchange != null) {
+      exchange.cancel();
+    }
+  }
+
   private void stopPatience() {
     if (patience != null) {
       patience.cancel(false);
