Measure keyed load by key, and spread hot neighbours in one round

Cause: load was counted in buckets of 64 neighbouring keys, and a rush to 60 neighbours fell into one bucket, which can't be cut; one piece an entry was cut in a round, a round came once a second, and any range that was on its way stopped all rounds of its service. Test: RangePlannerTest.hotNeighboursAreSpreadInOneRound, red before.

--- a/core/src/main/java/org/cowslipmoor/core/fleet/FleetAggregator.java
+++ b/core/src/main/java/org/cowslipmoor/core/fleet/FleetAggregator.java
@@ -50,8 +50,8 @@
     report
         .keyLoads()
         .forEach(
-            (service, buckets) ->
-                buckets.forEach((b, requests) -> keyLoad.count(service, b, requests, now)));
+            (service, keys) ->
+                keys.forEach((key, requests) -> keyLoad.count(service, key, requests, now)));
     report
         .targets()
         .forEach(
@@ -118,7 +118,7 @@
         }
       }
     }
-    return new ServiceLoad(keyLoad.weights(service, now), speeds.buildOrThrow());
+    return ServiceLoad.of(keyLoad.weights(service, now), speeds.buildOrThrow());
   }
 
   private void expire(long now) {
--- a/core/src/main/java/org/cowslipmoor/core/fleet/HostReport.java
+++ b/core/src/main/java/org/cowslipmoor/core/fleet/HostReport.java
@@ -6,7 +6,7 @@
 /**
  * What one host has seen since its last report.
  *
- * @param keyLoads requests by service and bucket of neighbouring keys
+ * @param keyLoads requests by service and key
  * @param targets what it has seen of each target, by id
  * @param storeRevision the newest state of the store that the host knows
  * @param approvals joining hosts that the host approves
--- a/core/src/main/java/org/cowslipmoor/core/range/Holding.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/Holding.java
@@ -50,8 +50,8 @@
   }
 
   /** Returns a part of this holding; nothing may be in flight. */
-  Holding part(int from, int to) {
-    Holding part = new Holding(entry.part(from, to), nextGrantAt);
+  Holding part(KeyRange range) {
+    Holding part = new Holding(entry.part(range.from(), range.to()), nextGrantAt);
     part.isWritten = isWritten;
     part.isAccepted = isAccepted;
     part.nextReleaseAt = nextReleaseAt;
@@ -62,6 +62,15 @@
     return part;
   }
 
+  /** Returns the entry as it will be once the keys have reached their destination. */
+  RangeEntry placed() {
+    DiscoveredTarget to = destination;
+    return to == null
+        ? entry
+        : new RangeEntry(
+            entry.service(), entry.range(), to.life(), to.address(), entry.fence(), null);
+  }
+
   /** Tells whether the owner, as far as it still runs, surely does not hold the keys any more. */
   boolean isFree(long now) {
     if (isGrantInFlight || isReleaseInFlight) {
--- a/core/src/main/java/org/cowslipmoor/core/range/KeyCounts.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/KeyCounts.java
@@ -4,21 +4,19 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** Counts one host's requests by service and bucket of neighbouring keys. Not thread-safe. */
+/** Counts one host's requests by service and key. Not thread-safe. */
 public final class KeyCounts {
   private final Map<String, Map<Integer, Integer>> counts = new HashMap<>();
 
   /** Counts a request for a key. */
   public void count(String service, int key) {
-    counts
-        .computeIfAbsent(service, unused -> new HashMap<>())
-        .merge(ServiceLoad.bucket(key), 1, Integer::sum);
+    counts.computeIfAbsent(service, unused -> new HashMap<>()).merge(key, 1, Integer::sum);
   }
 
-  /** Returns the counts since the last call, by service and bucket, and begins anew. */
+  /** Returns the counts since the last call, by service and key, and begins anew. */
   public ImmutableMap<String, ImmutableMap<Integer, Integer>> drain() {
     ImmutableMap.Builder<String, ImmutableMap<Integer, Integer>> drained = ImmutableMap.builder();
-    counts.forEach((service, buckets) -> drained.put(service, ImmutableMap.copyOf(buckets)));
+    counts.forEach((service, keys) -> drained.put(service, ImmutableMap.copyOf(keys)));
     counts.clear();
     return drained.buildOrThrow();
   }
--- a/core/src/main/java/org/cowslipmoor/core/range/KeyLoadMeter.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/KeyLoadMeter.java
@@ -9,7 +9,7 @@
  * Not thread-safe; times are nanoseconds.
  */
 public final class KeyLoadMeter {
-  private static final long HALF_LIFE = 2_000_000_000L;
+  private static final long HALF_LIFE = 1_200_000_000L;
 
   /** Requests below which the spread is taken to be even. */
   private static final double LEAST_COUNT = 40;
@@ -29,16 +29,16 @@
     return new KeyLoadMeter(now);
   }
 
-  /** Counts requests for a bucket of keys. */
-  public void count(String service, int bucket, double requests, long now) {
+  /** Counts requests for a key. */
+  public void count(String service, int key, double requests, long now) {
     decay(now);
-    buckets(service)[bucket] += requests;
+    keys(service)[key] += requests;
   }
 
-  /** Returns the part of a service's work that falls on each bucket; sums to 1. */
+  /** Returns the part of a service's work that falls on each key; sums to 1. */
   public double[] weights(String service, long now) {
     decay(now);
-    double[] counted = buckets(service);
+    double[] counted = keys(service);
     double sum = 0;
     for (double c : counted) {
       sum += c;
@@ -66,7 +66,7 @@
     }
   }
 
-  private double[] buckets(String service) {
-    return counts.computeIfAbsent(service, unused -> new double[ServiceLoad.BUCKETS]);
+  private double[] keys(String service) {
+    return counts.computeIfAbsent(service, unused -> new double[KeyRange.LAST_KEY + 1]);
   }
 }
--- a/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
@@ -4,9 +4,11 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.discovery.TargetDirectory;
 import org.cowslipmoor.core.fleet.FleetState;
@@ -240,38 +242,50 @@
     }
     nextRebalanceAt = now + timing.rebalance();
     for (String service : inputs.services()) {
-      ImmutableList<DiscoveredTarget> targets = inputs.directory().usable(service);
-      List<Holding> own = holdings.stream().filter(h -> h.entry.service().equals(service)).toList();
-      boolean quiet =
-          own.stream().allMatch(h -> h.isAccepted && !isLeaving(now, h, inputs.directory()));
-      if (targets.size() < 2 || own.isEmpty() || !quiet) {
+      ImmutableList<DiscoveredTarget> targets = receivers(now, service, inputs.directory());
+      if (targets.size() < 2) {
         continue;
       }
-      List<RangeEntry> entries = own.stream().map(h -> h.entry).toList();
-      for (RangePlanner.Move m : new RangePlanner(targets, load(service, inputs)).moves(entries)) {
-        split(m);
+      List<RangeEntry> placed = new ArrayList<>();
+      Set<RangeEntry> fixed = new HashSet<>();
+      for (Holding h : holdings) {
+        if (h.entry.service().equals(service)) {
+          RangeEntry e = h.placed();
+          placed.add(e);
+          if (!h.isAccepted || h.isGrantInFlight || isLeaving(now, h, inputs.directory())) {
+            fixed.add(e);
+          }
+        }
       }
+      new RangePlanner(targets, load(service, inputs)).moves(placed, fixed).forEach(this::split);
     }
   }
 
+  /** Returns the targets that may be given keys: those that take their grants. */
+  private ImmutableList<DiscoveredTarget> receivers(
+      long now, String service, TargetDirectory directory) {
+    Set<String> silent = new HashSet<>();
+    for (Holding h : holdings) {
+      if (h.isWritten && now - h.acceptedAt >= 2 * timing.renewal()) {
+        silent.add(h.entry.owner().id());
+      }
+    }
+    return directory.usable(service).stream()
+        .filter(t -> !silent.contains(t.id()))
+        .collect(ImmutableList.toImmutableList());
+  }
+
   /** Cuts the piece out of its holding and marks it for its destination. */
   private void split(RangePlanner.Move move) {
     Holding whole = find(move.entry());
-    if (whole == null || whole.isGrantInFlight) {
+    if (whole == null) {
       return;
     }
     holdings.remove(whole);
-    KeyRange all = whole.entry.range();
-    KeyRange piece = move.piece();
-    if (all.from() < piece.from()) {
-      holdings.add(whole.part(all.from(), piece.from() - 1));
-    }
-    Holding moved = whole.part(piece.from(), piece.to());
+    move.remainder().forEach(e -> holdings.add(whole.part(e.range())));
+    Holding moved = whole.part(move.piece());
     moved.destination = move.to();
     holdings.add(moved);
-    if (piece.to() < all.to()) {
-      holdings.add(whole.part(piece.to() + 1, all.to()));
-    }
   }
 
   private void reassignFree(long now, RangeInputs inputs) {
@@ -374,8 +388,7 @@
   }
 
   private static ServiceLoad load(String service, RangeInputs inputs) {
-    ServiceLoad load = inputs.loads().get(service);
-    return load == null ? ServiceLoad.even() : load;
+    return inputs.loads().apply(service);
   }
 
   private static long later(long a, long b) {
--- a/core/src/main/java/org/cowslipmoor/core/range/RangeInputs.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/RangeInputs.java
@@ -1,7 +1,7 @@
 package org.cowslipmoor.core.range;
 
-import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import java.util.function.Function;
 import org.cowslipmoor.core.discovery.TargetDirectory;
 
 /**
@@ -9,12 +9,12 @@
  *
  * @param services names of the keyed services
  * @param directory the targets that are known
- * @param loads measured load by service; even where a service is missing
+ * @param loads measures the load of a service
  * @param leaseCertain whether the coordinator's lease was renewed lately; when not, grants are made
  *     to last, since the store may be away
  */
 public record RangeInputs(
     ImmutableSet<String> services,
     TargetDirectory directory,
-    ImmutableMap<String, ServiceLoad> loads,
+    Function<String, ServiceLoad> loads,
     boolean leaseCertain) {}
--- a/core/src/main/java/org/cowslipmoor/core/range/RangePlanner.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/RangePlanner.java
@@ -28,7 +28,7 @@
   private static final double UNDERLOADED = 0.4;
 
   /** Most pieces that start to move in one round. */
-  private static final int MOVES_PER_ROUND = 8;
+  private static final int MOVES_PER_ROUND = 32;
 
   /** Least part of a service's work that is worth a move. */
   private static final double LEAST_WEIGHT = 0.002;
@@ -47,7 +47,21 @@
    * @param piece the keys
    * @param to where they go
    */
-  record Move(RangeEntry entry, KeyRange piece, DiscoveredTarget to) {}
+  record Move(RangeEntry entry, KeyRange piece, DiscoveredTarget to) {
+
+    /** Returns what the owner keeps of the entry. */
+    ImmutableList<RangeEntry> remainder() {
+      ImmutableList.Builder<RangeEntry> parts = ImmutableList.builder();
+      KeyRange all = entry.range();
+      if (all.from() < piece.from()) {
+        parts.add(entry.part(all.from(), piece.from() - 1));
+      }
+      if (piece.to() < all.to()) {
+        parts.add(entry.part(piece.to() + 1, all.to()));
+      }
+      return parts.build();
+    }
+  }
 
   /**
    * Creates a planner.
@@ -65,18 +79,13 @@
   ImmutableList<RangeEntry> initial(String service, long lastFence) {
     ImmutableList.Builder<RangeEntry> entries = ImmutableList.builder();
     int from = 0;
-    double share = 0;
-    double passed = 0;
-    int bucket = 0;
-    for (int i = 0; i < targets.size() && from <= KeyRange.LAST_KEY; i++) {
+    for (int i = 0; i < targets.size(); i++) {
       DiscoveredTarget t = targets.get(i);
-      share += capacity(t) / totalCapacity;
-      boolean last = i == targets.size() - 1;
-      int first = bucket;
-      while (bucket < ServiceLoad.BUCKETS && (last || bucket == first || passed < share)) {
-        passed += load.weights()[bucket++];
-      }
-      int to = bucket * ServiceLoad.BUCKET_KEYS - 1;
+      int left = targets.size() - i - 1;
+      KeyRange rest = new KeyRange(from, KeyRange.LAST_KEY);
+      KeyRange share = left == 0 ? rest : load.head(rest, capacity(t) / totalCapacity);
+      // Each of the later targets gets a key at least.
+      int to = Math.min(share.to(), KeyRange.LAST_KEY - left);
       entries.add(
           new RangeEntry(
               service, new KeyRange(from, to), t.life(), t.address(), lastFence + i + 1, null));
@@ -96,13 +105,20 @@
         .orElseThrow();
   }
 
-  /** Returns the pieces that should move now; empty when the load is balanced well enough. */
-  ImmutableList<Move> moves(List<RangeEntry> placed) {
-    Map<String, Double> loads = loads(placed);
+  /**
+   * Returns the pieces that should move now, in the order in which they are cut; empty when the
+   * load is balanced well enough. A piece may be cut from what earlier pieces left of an entry.
+   *
+   * @param placed all entries of the service
+   * @param fixed those that can't be cut now
+   */
+  ImmutableList<Move> moves(List<RangeEntry> placed, Set<RangeEntry> fixed) {
+    final Map<String, Double> loads = loads(placed);
     double mean = 1 / totalCapacity;
     ImmutableList.Builder<Move> moves = ImmutableList.builder();
     Set<String> stuck = new HashSet<>();
-    Set<RangeEntry> touched = new HashSet<>();
+    List<RangeEntry> movable = new ArrayList<>(placed);
+    movable.removeAll(fixed);
     for (int i = 0; i < MOVES_PER_ROUND; i++) {
       Optional<DiscoveredTarget> busiest =
           targets.stream()
@@ -125,13 +141,14 @@
       if (!needed || amount < LEAST_WEIGHT) {
         break;
       }
-      Optional<Move> move = bestPiece(from, idlest, amount, placed, touched);
+      Optional<Move> move = bestPiece(from, idlest, amount, movable, loads);
       if (move.isEmpty()) {
         stuck.add(from.id());
         continue;
       }
       moves.add(move.get());
-      touched.add(move.get().entry());
+      movable.remove(move.get().entry());
+      movable.addAll(move.get().remainder());
       double weight = load.weight(move.get().piece());
       loads.merge(from.id(), -weight, Double::sum);
       loads.merge(idlest.id(), weight, Double::sum);
@@ -144,55 +161,30 @@
       DiscoveredTarget from,
       DiscoveredTarget to,
       double amount,
-      List<RangeEntry> placed,
-      Set<RangeEntry> touched) {
+      List<RangeEntry> movable,
+      Map<String, Double> loads) {
     List<Move> moves = new ArrayList<>();
-    for (RangeEntry e : placed) {
-      if (e.owner().equals(from.life()) && !touched.contains(e)) {
-        moves.add(new Move(e, head(e.range(), amount), to));
-        moves.add(new Move(e, tail(e.range(), amount), to));
+    for (RangeEntry e : movable) {
+      if (e.owner().equals(from.life())) {
+        moves.add(new Move(e, load.head(e.range(), amount), to));
+        moves.add(new Move(e, load.tail(e.range(), amount), to));
       }
     }
     return moves.stream()
-        .filter(m -> weight(m) >= LEAST_WEIGHT && weight(m) <= amount * ROUNDING)
+        .filter(m -> weight(m) >= LEAST_WEIGHT)
+        .filter(m -> weight(m) <= amount * ROUNDING || isBusyKeyWorthMoving(m, from, loads))
         .max(Comparator.comparingDouble(this::weight));
   }
 
-  private double weight(Move m) {
-    return load.weight(m.piece());
-  }
-
-  private KeyRange head(KeyRange range, double amount) {
-    int to = endOfBucket(range.from(), range);
-    while (to < range.to()) {
-      int next = endOfBucket(to + 1, range);
-      if (load.weight(new KeyRange(range.from(), next)) > amount) {
-        break;
-      }
-      to = next;
-    }
-    return new KeyRange(range.from(), to);
+  /** Tells whether a single key, which can't be cut, leaves its owner busier than its new one. */
+  private boolean isBusyKeyWorthMoving(Move m, DiscoveredTarget from, Map<String, Double> loads) {
+    double left = loads.getOrDefault(from.id(), 0.0) - weight(m);
+    double there = loads.getOrDefault(m.to().id(), 0.0) + weight(m);
+    return m.piece().size() == 1 && there / capacity(m.to()) < left / capacity(from);
   }
 
-  private KeyRange tail(KeyRange range, double amount) {
-    int from = startOfBucket(range.to(), range);
-    while (from > range.from()) {
-      int next = startOfBucket(from - 1, range);
-      if (load.weight(new KeyRange(next, range.to())) > amount) {
-        break;
-      }
-      from = next;
-    }
-    return new KeyRange(from, range.to());
-  }
-
-  private static int endOfBucket(int key, KeyRange range) {
-    int end = (ServiceLoad.bucket(key) + 1) * ServiceLoad.BUCKET_KEYS - 1;
-    return Math.min(end, range.to());
-  }
-
-  private static int startOfBucket(int key, KeyRange range) {
-    return Math.max(ServiceLoad.bucket(key) * ServiceLoad.BUCKET_KEYS, range.from());
+  private double weight(Move m) {
+    return load.weight(m.piece());
   }
 
   private Map<String, Double> loads(List<RangeEntry> placed) {
--- a/core/src/main/java/org/cowslipmoor/core/range/RangeTiming.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/RangeTiming.java
@@ -41,7 +41,7 @@
         Math.min(800 * MS, longest / 4),
         400 * MS,
         700 * MS,
-        1_000 * MS);
+        500 * MS);
   }
 
   /** Returns when a grant that arrived at {@code arrival} at the latest has surely lapsed. */
--- a/core/src/main/java/org/cowslipmoor/core/range/ServiceLoad.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/ServiceLoad.java
@@ -7,46 +7,77 @@
 
 /**
  * Measured load of a keyed service: how the requests spread over its keys, and how fast its targets
- * work.
- *
- * @param weights part of the work that falls on each bucket of neighbouring keys; sums to 1
- * @param speeds speed of a target's slot relative to the others, by target id; 1 where unknown
+ * work. Immutable.
  */
-public record ServiceLoad(double[] weights, ImmutableMap<String, Double> speeds) {
-  /** Number of buckets into which the keys are divided evenly. */
-  public static final int BUCKETS = 1_024;
+public final class ServiceLoad {
+  private static final int KEYS = KeyRange.LAST_KEY + 1;
 
-  /** Keys in a bucket. */
-  public static final int BUCKET_KEYS = (KeyRange.LAST_KEY + 1) / BUCKETS;
+  /** Part of the work that falls on the keys below each key; one entry more than there are keys. */
+  private final double[] below;
 
-  /** Checks the number of weights. */
-  public ServiceLoad {
-    checkArgument(weights.length == BUCKETS, "there must be %s weights", BUCKETS);
+  private final ImmutableMap<String, Double> speeds;
+
+  private ServiceLoad(double[] below, ImmutableMap<String, Double> speeds) {
+    this.below = below;
+    this.speeds = speeds;
   }
 
-  /** Returns the load of a service of which nothing was measured. */
-  public static ServiceLoad even() {
-    double[] weights = new double[BUCKETS];
-    Arrays.fill(weights, 1.0 / BUCKETS);
-    return new ServiceLoad(weights, ImmutableMap.of());
+  /**
+   * Creates a measured load.
+   *
+   * @param weights part of the work that falls on each key; sums to 1
+   * @param speeds speed of a target's slot relative to the others, by target id; 1 where unknown
+   */
+  public static ServiceLoad of(double[] weights, ImmutableMap<String, Double> speeds) {
+    checkArgument(
+        weights.length == KEYS, "there must be %s weights, but are %s", KEYS, weights.length);
+    double[] below = new double[KEYS + 1];
+    for (int key = 0; key < KEYS; key++) {
+      below[key + 1] = below[key] + weights[key];
+    }
+    return new ServiceLoad(below, speeds);
   }
 
-  /** Returns the bucket of a key. */
-  public static int bucket(int key) {
-    return key / BUCKET_KEYS;
+  /** Returns the load of a service of which nothing was measured. */
+  public static ServiceLoad even() {
+    double[] weights = new double[KEYS];
+    Arrays.fill(weights, 1.0 / KEYS);
+    return of(weights, ImmutableMap.of());
   }
 
   /** Returns the part of the work that falls on a range. */
   double weight(KeyRange range) {
-    double sum = 0;
-    int first = bucket(range.from());
-    int last = bucket(range.to());
-    for (int b = first; b <= last; b++) {
-      int from = Math.max(range.from(), b * BUCKET_KEYS);
-      int to = Math.min(range.to(), (b + 1) * BUCKET_KEYS - 1);
-      sum += weights[b] * (to - from + 1) / BUCKET_KEYS;
+    return below[range.to() + 1] - below[range.from()];
+  }
+
+  /** Returns the longest head of a range whose work is no more than an amount; at least one key. */
+  KeyRange head(KeyRange range, double amount) {
+    int low = range.from();
+    int high = range.to();
+    while (low < high) {
+      int middle = (low + high + 1) >>> 1;
+      if (below[middle + 1] - below[range.from()] <= amount) {
+        low = middle;
+      } else {
+        high = middle - 1;
+      }
+    }
+    return new KeyRange(range.from(), low);
+  }
+
+  /** Returns the longest tail of a range whose work is no more than an amount; at least one key. */
+  KeyRange tail(KeyRange range, double amount) {
+    int low = range.from();
+    int high = range.to();
+    while (low < high) {
+      int middle = (low + high) >>> 1;
+      if (below[range.to() + 1] - below[middle] <= amount) {
+        high = middle;
+      } else {
+        low = middle + 1;
+      }
     }
-    return sum;
+    return new KeyRange(low, range.to());
   }
 
   double speed(String target) {
--- a/core/src/test/java/org/cowslipmoor/core/range/RangePlannerTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/RangePlannerTest.java
@@ -10,6 +10,9 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.discovery.TargetLife;
 import org.junit.jupiter.api.Test;
@@ -21,11 +24,15 @@
     return new DiscoveredTarget(new TargetLife(id, 1), SERVICE, id + ":1", "cairo", 4, false, 0);
   }
 
-  private static ServiceLoad hotAt(int bucket, double share) {
-    double[] weights = new double[ServiceLoad.BUCKETS];
-    Arrays.fill(weights, (1 - share) / ServiceLoad.BUCKETS);
-    weights[bucket] += share;
-    return new ServiceLoad(weights, ImmutableMap.of());
+  private static final int KEYS = KeyRange.LAST_KEY + 1;
+
+  private static ServiceLoad hotAt(KeyRange hot, double share) {
+    double[] weights = new double[KEYS];
+    Arrays.fill(weights, (1 - share) / KEYS);
+    for (int key = hot.from(); key <= hot.to(); key++) {
+      weights[key] += share / hot.size();
+    }
+    return ServiceLoad.of(weights, ImmutableMap.of());
   }
 
   private static ImmutableList<RangeEntry> evenly(ImmutableList<DiscoveredTarget> targets) {
@@ -34,8 +41,9 @@
 
   @Test
   void keysAreDividedBySpeed() {
-    ServiceLoad load =
-        new ServiceLoad(ServiceLoad.even().weights(), ImmutableMap.of("a", 2.0, "b", 1.0));
+    double[] weights = new double[KEYS];
+    Arrays.fill(weights, 1.0 / KEYS);
+    ServiceLoad load = ServiceLoad.of(weights, ImmutableMap.of("a", 2.0, "b", 1.0));
     ImmutableList<RangeEntry> entries =
         new RangePlanner(ImmutableList.of(target("a"), target("b")), load).initial(SERVICE, 0);
 
@@ -47,7 +55,9 @@
   void balancedLoadMovesNothing() {
     ImmutableList<DiscoveredTarget> targets =
         ImmutableList.of(target("a"), target("b"), target("c"));
-    assertThat(new RangePlanner(targets, ServiceLoad.even()).moves(evenly(targets)), is(empty()));
+    assertThat(
+        new RangePlanner(targets, ServiceLoad.even()).moves(evenly(targets), Set.of()),
+        is(empty()));
   }
 
   /** Answers a hot key: its owner keeps it and gives the other keys away, which it would harm. */
@@ -55,12 +65,13 @@
   void neighboursOfHotKeyMoveAway() {
     ImmutableList<DiscoveredTarget> targets =
         ImmutableList.of(target("a"), target("b"), target("c"), target("d"));
-    ServiceLoad load = hotAt(100, 0.4);
+    KeyRange hot = new KeyRange(6_400, 6_400);
+    ServiceLoad load = hotAt(hot, 0.4);
 
-    ImmutableList<RangePlanner.Move> moves = new RangePlanner(targets, load).moves(evenly(targets));
+    ImmutableList<RangePlanner.Move> moves =
+        new RangePlanner(targets, load).moves(evenly(targets), Set.of());
 
     assertThat(moves, is(not(empty())));
-    KeyRange hot = new KeyRange(6_400, 6_463);
     for (RangePlanner.Move m : moves) {
       assertThat(m.entry().owner().id(), is("a"));
       assertThat(m.piece().contains(hot.from()), is(false));
@@ -74,11 +85,50 @@
     ImmutableList<DiscoveredTarget> after = ImmutableList.of(target("a"), target("b"), target("c"));
 
     ImmutableList<RangePlanner.Move> moves =
-        new RangePlanner(after, ServiceLoad.even()).moves(evenly(before));
+        new RangePlanner(after, ServiceLoad.even()).moves(evenly(before), Set.of());
 
     int moved = moves.stream().mapToInt(m -> m.piece().size()).sum();
     assertThat(moved, greaterThan(15_000));
     assertThat(moved, lessThan(23_000));
     assertThat(moves.stream().allMatch(m -> m.to().id().equals("c")), is(true));
   }
+
+  /**
+   * Answers a rush to a few neighbouring keys, such as those of a popular product: one round cuts
+   * them apart finely enough for each target to get a part that it can serve.
+   */
+  @Test
+  void hotNeighboursAreSpreadInOneRound() {
+    ImmutableList.Builder<DiscoveredTarget> all = ImmutableList.builder();
+    for (int i = 0; i < 16; i++) {
+      all.add(target("t" + (char) ('a' + i)));
+    }
+    ImmutableList<DiscoveredTarget> targets = all.build();
+    ServiceLoad load = hotAt(new KeyRange(6_400, 6_459), 0.4);
+    ImmutableList<RangeEntry> placed = evenly(targets);
+
+    ImmutableList<RangePlanner.Move> moves =
+        new RangePlanner(targets, load).moves(placed, Set.of());
+
+    Map<String, Double> loads = new HashMap<>();
+    placed.forEach(e -> loads.merge(e.owner().id(), load.weight(e.range()), Double::sum));
+    for (RangePlanner.Move m : moves) {
+      loads.merge(m.entry().owner().id(), -load.weight(m.piece()), Double::sum);
+      loads.merge(m.to().id(), load.weight(m.piece()), Double::sum);
+    }
+    loads.forEach((id, share) -> assertThat(id, share, lessThan(1.5 / targets.size())));
+  }
+
+  /** Entries that are on their way somewhere are left alone, and their load is counted there. */
+  @Test
+  void fixedEntriesAreNotCut() {
+    ImmutableList<DiscoveredTarget> targets = ImmutableList.of(target("a"), target("b"));
+    ImmutableList<RangeEntry> placed = evenly(targets);
+    ServiceLoad load = hotAt(new KeyRange(0, 99), 0.6);
+
+    ImmutableList<RangePlanner.Move> moves =
+        new RangePlanner(targets, load).moves(placed, Set.of(placed.get(0)));
+
+    assertThat(moves, is(empty()));
+  }
 }
--- a/core/src/test/java/org/cowslipmoor/core/range/RangeWorld.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/RangeWorld.java
@@ -1,6 +1,5 @@
 package org.cowslipmoor.core.range;
 
-import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -34,6 +33,7 @@
   private long now = 1;
   private long order;
   private long nextLife = 1;
+  ServiceLoad load = ServiceLoad.even();
   int violations;
   int moves;
 
@@ -154,7 +154,7 @@
     List<DiscoveredTarget> listed =
         targets.values().stream().filter(t -> t.announcing).map(t -> t.announced).toList();
     return new RangeInputs(
-        ImmutableSet.of(SERVICE), TargetDirectory.of(listed), ImmutableMap.of(), true);
+        ImmutableSet.of(SERVICE), TargetDirectory.of(listed), unused -> load, true);
   }
 
   private void perform(RangeCoordinator c, RangeAction action) {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/codec/FleetCodec.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/codec/FleetCodec.java
@@ -9,7 +9,6 @@
 import org.cowslipmoor.core.fleet.FleetState;
 import org.cowslipmoor.core.fleet.HostReport;
 import org.cowslipmoor.core.range.KeyRange;
-import org.cowslipmoor.core.range.ServiceLoad;
 import org.cowslipmoor.schema.fleet.KeyLoad;
 import org.cowslipmoor.schema.fleet.MovingRange;
 import org.cowslipmoor.schema.fleet.TargetSample;
@@ -30,7 +29,7 @@
         .forEach(
             (service, counts) -> {
               KeyLoad.Builder load = KeyLoad.newBuilder().setService(service);
-              counts.forEach((bucket, n) -> load.addBuckets(bucket).addRequests(n));
+              counts.forEach((key, n) -> load.addKeys(key).addRequests(n));
               message.addKeyLoads(load);
             });
     report
@@ -125,15 +124,15 @@
 
   private static ImmutableMap<Integer, Integer> decodeCounts(KeyLoad load) {
     checkArgument(
-        load.getBucketsCount() == load.getRequestsCount(),
-        "there are %s buckets, but %s counts",
-        load.getBucketsCount(),
+        load.getKeysCount() == load.getRequestsCount(),
+        "there are %s keys, but %s counts",
+        load.getKeysCount(),
         load.getRequestsCount());
     ImmutableMap.Builder<Integer, Integer> counts = ImmutableMap.builder();
-    for (int i = 0; i < load.getBucketsCount(); i++) {
-      int bucket = load.getBuckets(i);
-      checkArgument(0 <= bucket && bucket < ServiceLoad.BUCKETS, "there is no bucket %s", bucket);
-      counts.put(bucket, load.getRequests(i));
+    for (int i = 0; i < load.getKeysCount(); i++) {
+      int key = load.getKeys(i);
+      checkArgument(0 <= key && key <= KeyRange.LAST_KEY, "there is no key %s", key);
+      counts.put(key, load.getRequests(i));
     }
     return counts.buildOrThrow();
   }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/Coordination.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/Coordination.java
@@ -1,8 +1,9 @@
 package org.cowslipmoor.daemon.coordination;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -191,9 +192,12 @@
                 .filter(ServiceDescription::keyed)
                 .map(ServiceDescription::name)
                 .collect(ImmutableSet.toImmutableSet());
-    ImmutableMap<String, ServiceLoad> measured =
-        services.stream().collect(ImmutableMap.toImmutableMap(s -> s, loads));
-    return new RangeInputs(services, v.directory(), measured, leadership.isCertain(now));
+    Map<String, ServiceLoad> measured = new HashMap<>();
+    return new RangeInputs(
+        services,
+        v.directory(),
+        service -> measured.computeIfAbsent(service, loads),
+        leadership.isCertain(now));
   }
 
   private void perform(RangeCoordinator c, RangeAction action) {
--- a/daemon/src/test/java/org/cowslipmoor/daemon/codec/FleetCodecTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/codec/FleetCodecTest.java
@@ -41,7 +41,7 @@
   void reportThatContradictsItselfIsRefused() {
     org.cowslipmoor.schema.fleet.HostReport message =
         org.cowslipmoor.schema.fleet.HostReport.newBuilder()
-            .addKeyLoads(KeyLoad.newBuilder().setService("stock").addBuckets(1))
+            .addKeyLoads(KeyLoad.newBuilder().setService("stock").addKeys(1))
             .build();
     assertThrows(IllegalArgumentException.class, () -> FleetCodec.decodeReport(message));
   }
