Look at the caller's connection right before a request is sent

Cause: after all hosts restart, a host reads requests late. The end of the caller's connection is read before the request is sent, but Armeria tells the request of it by further tasks of the event loop, which can come later. Ruled out: lag that goes unnoticed; the host counts as lagging for 3 s after its start, and the requests were sent on 1.3 s after it began to serve. Test: GatewayTest.requestOfCallerThatLeftIsNotBegun; before, the connection that was opened for the unwanted request was reset.

--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Attempt.java
@@ -121,7 +121,11 @@
   }
 
   @Override
-  public void onSent() {
+  public void onSending() {
+    // The end of the caller's connection is known before Armeria has told the request of it.
+    if (owner.endIfCallerLeft()) {
+      return;
+    }
     sent = true;
   }
 
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
@@ -50,6 +50,7 @@
   private final ServiceRequestContext ctx;
   private final HttpRequest request;
   private final HttpResponseWriter writer;
+  private final @Nullable Channel callerChannel;
   private final long startedAt = System.nanoTime();
   private final Set<String> triedTargets = new HashSet<>();
   private @Nullable CallerHead head;
@@ -73,11 +74,12 @@
     this.ctx = ctx;
     this.request = request;
     this.writer = writer;
+    this.callerChannel = ctx.log().partial().channel();
   }
 
   void start() {
     gateway.begin();
-    Channel channel = ctx.log().partial().channel();
+    Channel channel = callerChannel;
     if (channel != null) {
       gateway.callers().onRequest(channel);
     }
@@ -180,8 +182,17 @@
     breakOff();
   }
 
+  /** Ends the exchange if the caller has closed its connection; returns whether it is over. */
+  boolean endIfCallerLeft() {
+    if (!over && callerChannel != null && !callerChannel.isActive()) {
+      gateway.count(GatewayMetric.CALLERS_GONE);
+      breakOff();
+    }
+    return over;
+  }
+
   private void place() {
-    if (over) {
+    if (endIfCallerLeft()) {
       return;
     }
     long now = System.nanoTime();
@@ -249,7 +260,7 @@
   void onAttemptFailed(Attempt failed) {
     attempt = null;
     mayHaveRun |= failed.mayHaveRun();
-    if (over) {
+    if (endIfCallerLeft()) {
       return;
     }
     long now = System.nanoTime();
--- a/daemon/src/main/java/org/cowslipmoor/daemon/http/Exchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/Exchange.java
@@ -79,12 +79,15 @@
     return listener;
   }
 
-  void begin(HttpConnection newConnection) {
-    connection = newConnection;
-    listener.onSent();
+  /** Begins to write to a connection; returns whether the request is still wanted. */
+  boolean begin(HttpConnection newConnection) {
+    if (!over) {
+      listener.onSending();
+    }
     if (over) {
-      return;
+      return false;
     }
+    connection = newConnection;
     newConnection.write(head);
     while (!unsent.isEmpty()) {
       send(newConnection, unsent.remove());
@@ -92,6 +95,7 @@
     if (bodyEnded) {
       newConnection.write(LastHttpContent.EMPTY_LAST_CONTENT);
     }
+    return true;
   }
 
   void fail(ExchangeFailure failure) {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/http/ExchangeListener.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/ExchangeListener.java
@@ -6,8 +6,11 @@
 /** Takes the answer of one exchange; called by the connections' event loop. */
 public interface ExchangeListener {
 
-  /** Is told that the request is about to be written to a connection. */
-  default void onSent() {}
+  /**
+   * Is told that the request is about to be written to a connection; it is not written when the
+   * listener cancels the exchange here.
+   */
+  default void onSending() {}
 
   /**
    * Takes the answer's head.
--- a/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnection.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnection.java
@@ -59,8 +59,12 @@
     current = exchange;
     headSeen = false;
     freed = false;
-    exchange.begin(this);
-    channel.flush();
+    if (exchange.begin(this)) {
+      channel.flush();
+    } else {
+      current = null;
+      free(reusable);
+    }
   }
 
   ChannelFuture write(Object message) {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnections.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnections.java
@@ -154,12 +154,10 @@
   }
 
   private void begin(HttpConnection c, Exchange exchange) {
-    if (exchange.isOver()) {
-      onFree(c, c.isFresh(System.nanoTime()));
-    } else if (!c.isFresh(System.nanoTime())) {
-      exchange.fail(ExchangeFailure.NOT_SENT);
-    } else {
+    if (c.isFresh(System.nanoTime())) {
       c.start(exchange);
+    } else {
+      exchange.fail(ExchangeFailure.NOT_SENT);
     }
   }
 
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/GatewayTest.java
@@ -17,11 +17,16 @@
 import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.RequestHeaders;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.net.ServerSocket;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -42,6 +47,10 @@
 import org.cowslipmoor.core.routing.ServiceDescription;
 import org.cowslipmoor.daemon.coordination.StoreView;
 import org.cowslipmoor.daemon.coordination.TargetOrders;
+import org.cowslipmoor.daemon.http.Exchange;
+import org.cowslipmoor.daemon.http.ExchangeFailure;
+import org.cowslipmoor.daemon.http.ExchangeListener;
+import org.cowslipmoor.daemon.http.HttpConnections;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -341,4 +350,72 @@
       return CompletableFuture.completedFuture(new Released(false, null));
     }
   }
+
+  /**
+   * Answers a host that lagged: its callers have left by the time it reads their requests. What
+   * they asked for is not begun, and the connection that was opened for it serves the next one.
+   */
+  @Test
+  void requestOfCallerThatLeftIsNotBegun() throws Exception {
+    ScriptedTarget t = target("t1", ScriptedTarget.ok("sheet"));
+    HttpConnections connections =
+        new HttpConnections(group.next(), Duration.ofSeconds(1), Duration.ofSeconds(4));
+    String address = t.announced("sheets").address();
+    CompletableFuture<ExchangeFailure> answered = new CompletableFuture<>();
+    Exchange[] unwanted = new Exchange[1];
+    ExchangeListener last = new Listener(() -> {}, answered);
+    // The first one gives its connection back while it is started, and only then comes the second.
+    Runnable leave =
+        () -> {
+          unwanted[0].cancel();
+          group.next().execute(() -> connections.start(address, get("wanted"), last).end());
+        };
+    group
+        .next()
+        .execute(
+            () ->
+                unwanted[0] =
+                    connections.start(
+                        address, get("unwanted"), new Listener(leave, new CompletableFuture<>())));
+
+    answered.get(5, TimeUnit.SECONDS);
+
+    assertThat(t.requests, hasSize(1));
+    assertThat(t.requests.get(0), containsString("wanted"));
+    assertThat(t.connections.get(), is(1));
+  }
+
+  private static DefaultHttpRequest get(String id) {
+    DefaultHttpRequest request =
+        new DefaultHttpRequest(
+            HttpVersion.HTTP_1_1, io.netty.handler.codec.http.HttpMethod.GET, "/safe/");
+    request.headers().set("request-id", id);
+    return request;
+  }
+
+  private record Listener(Runnable beforeSending, CompletableFuture<ExchangeFailure> over)
+      implements ExchangeListener {
+    @Override
+    public void onSending() {
+      beforeSending.run();
+    }
+
+    @Override
+    public boolean onHead(HttpResponse head) {
+      return true;
+    }
+
+    @Override
+    public void onData(ByteBuf data) {}
+
+    @Override
+    public void onEnd() {
+      over.complete(null);
+    }
+
+    @Override
+    public void onFailure(ExchangeFailure failure) {
+      over.completeExceptionally(new IllegalStateException(failure.toString()));
+    }
+  }
 }
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/ScriptedTarget.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/ScriptedTarget.java
@@ -12,12 +12,14 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.discovery.TargetLife;
 
 /** A target over loopback that writes given bytes for each request that it reads. */
 final class ScriptedTarget implements AutoCloseable {
   final List<String> requests = new CopyOnWriteArrayList<>();
+  final AtomicInteger connections = new AtomicInteger();
   private final String id;
   private final ServerSocket server;
   private final Script script;
@@ -61,6 +63,7 @@
     try {
       while (true) {
         Socket socket = server.accept();
+        connections.incrementAndGet();
         threads.execute(() -> serve(socket));
       }
     } catch (IOException e) {
