--- /dev/null
+++ b/deploy/training/TrainingPlatform.java
@@ -0,0 +1,214 @@
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Base64;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+
+/**
+ * Stands in for the platform while a host is trained: the classes that the host loads to serve a
+ * few requests go into its archive. Writes the host's settings to the file that its argument names,
+ * and ends once the requests are answered.
+ */
+public final class TrainingPlatform {
+  private static final Duration PATIENCE = Duration.ofSeconds(20);
+  private static final int REQUESTS = 40;
+
+  /** A put of a transaction. */
+  private static final Pattern PUT = Pattern.compile("\"key\":\"([^\"]+)\",\"value\":\"([^\"]*)\"");
+
+  /** The address stands for the name of the host, which the client can't set. */
+  private static final String CONFIGURATION =
+      """
+      {"version":1,
+       "limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,
+                 "idle_timeout_ms":15000},
+       "listeners":[{"host":"HOST","policy":[
+         {"name":"keyed","kind":"safe","slo_ms":500,"priority":1,"match":{"prefix":"/keyed/"},
+          "action":{"service":"stock","timeout_ms":1200,"attempts":2}},
+         {"name":"split","kind":"unsafe","slo_ms":500,"priority":1,"match":{"prefix":"/split/"},
+          "action":{"split":[{"service":"sheets","weight":9},{"service":"orders","weight":1}],
+                    "timeout_ms":1200,"attempts":2}}]}],
+       "upstreams":[{"name":"stock","max_conns":100,"sharded":true},
+                    {"name":"sheets","max_conns":100},{"name":"orders","max_conns":100}]}
+      """;
+
+  private final Map<String, String> items = new TreeMap<>();
+  private long revision = 1;
+
+  private TrainingPlatform() {}
+
+  /** Serves one training. */
+  public static void main(String[] args) throws Exception {
+    new TrainingPlatform().run(Path.of(args[0]));
+  }
+
+  private void run(Path settings) throws Exception {
+    ThreadLocalRandom random = ThreadLocalRandom.current();
+    // An address of its own, since a host's port for metrics is fixed.
+    String ip = "127.%d.%d.%d".formatted(random.nextInt(1, 255), random.nextInt(255), 1);
+    HttpServer targets = serve(ip, this::answerAsTarget);
+    HttpServer store = serve(ip, this::answerAsStore);
+    put("op/config", CONFIGURATION.replace("HOST", ip));
+    for (String service : new String[] {"stock", "sheets", "orders"}) {
+      put(
+          "servers/" + service + "-1",
+          """
+          {"addr":"%s:%d","born":1,"info":{"service":"%s","version":"v1","zone":"a","slots":4},
+           "status":{"state":"ready","seq":1,"cold_left_ms":0}}
+          """
+              .formatted(ip, targets.getAddress().getPort(), service));
+    }
+    int front = freePort(ip);
+    int ready = freePort(ip);
+    int links = freePort(ip);
+    Path draft = settings.resolveSibling(settings.getFileName() + ".draft");
+    Files.writeString(
+        draft,
+        """
+        [self]
+        node = "training"
+        ip = "%1$s"
+        zone = "a"
+        [network]
+        port_range = [%4$d, %4$d]
+        [network.listen]
+        front = "%1$s:%2$d"
+        ready = "%1$s:%3$d"
+        [provider]
+        heartbeat_ms = 1000
+        [provider.provider]
+        addr = "%1$s:%5$d"
+        ttl_min_ms = 1000
+        [terms.bounds]
+        grace_s = 2
+        budget_ratio = 0.1
+        budget_slack = 10
+        hold_max_ms = 10000
+        """
+            .formatted(ip, front, ready, links, store.getAddress().getPort()));
+    Files.move(draft, settings);
+    HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    long end = System.nanoTime() + PATIENCE.toNanos();
+    int answered = 0;
+    while (answered < REQUESTS && System.nanoTime() < end) {
+      answered += send(client, "http://%s:%d".formatted(ip, front), answered) ? 1 : 0;
+    }
+    send(client, "http://%s:%d".formatted(ip, ready), 0);
+    System.out.println("answered " + answered + " requests");
+    System.exit(answered == REQUESTS ? 0 : 1);
+  }
+
+  private static boolean send(HttpClient client, String base, int number) throws Exception {
+    HttpRequest.Builder request =
+        HttpRequest.newBuilder(URI.create(base + (number % 2 == 0 ? "/keyed/" : "/split/")))
+            .timeout(Duration.ofSeconds(2))
+            .header("X-Request-Id", "r" + number)
+            .header("X-Deadline-Ms", "1000")
+            .header("X-Shard-Key", "" + number * 1000);
+    if (number % 2 == 1) {
+      request.POST(HttpRequest.BodyPublishers.ofString("order"));
+    }
+    try {
+      int status = client.send(request.build(), HttpResponse.BodyHandlers.ofString()).statusCode();
+      Thread.sleep(status == 200 ? 10 : 100);
+      return status == 200;
+    } catch (IOException e) {
+      Thread.sleep(100);
+      return false;
+    }
+  }
+
+  private synchronized void answerAsStore(HttpExchange call) throws IOException {
+    String path = call.getRequestURI().getPath();
+    String body = new String(call.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+    if (path.equals("/v1/kv-range")) {
+      reply(call, "{\"items\":[%s],\"more_pages\":false,\"as_of\":%d}".formatted(all(0), revision));
+    } else if (path.equals("/v1/kv-watch")) {
+      Matcher after = Pattern.compile("after=(\\d+)").matcher(call.getRequestURI().getQuery());
+      String events = after.find() ? all(Long.parseLong(after.group(1))) : "";
+      reply(call, "{\"events\":[%s],\"as_of\":%d}".formatted(events, revision));
+    } else if (path.equals("/v1/kv-txn")) {
+      Matcher put = PUT.matcher(body);
+      while (put.find()) {
+        revision++;
+        items.put(put.group(1), item(put.group(1), put.group(2)));
+      }
+      reply(call, "{\"revision\":%d}".formatted(revision));
+    } else if (path.equals("/v1/kv-key")) {
+      call.sendResponseHeaders(404, -1);
+      call.close();
+    } else {
+      reply(call, "{\"lease\":7,\"ttl_ms\":1500}");
+    }
+  }
+
+  private void answerAsTarget(HttpExchange call) throws IOException {
+    call.getRequestBody().readAllBytes();
+    String id = call.getRequestHeaders().getFirst("X-Request-Id");
+    if (id != null) {
+      call.getResponseHeaders().set("X-Request-Id", id);
+    }
+    call.getResponseHeaders().set("X-Upstream-Load", "1,0,4");
+    call.getResponseHeaders().set("Keep-Alive", "timeout=10");
+    reply(call, "{}" + " ".repeat(5_000));
+  }
+
+  private synchronized void put(String key, String value) {
+    revision++;
+    items.put(
+        key, item(key, Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8))));
+  }
+
+  private String item(String key, String value) {
+    return "{\"key\":\"%s\",\"value\":\"%s\",\"revision\":%d,\"create_rev\":%d,\"lease\":0}"
+        .formatted(key, value, revision, revision);
+  }
+
+  private String all(long after) {
+    return items.values().stream()
+        .filter(i -> Long.parseLong(i.replaceAll(".*\"revision\":(\\d+).*", "$1")) > after)
+        .collect(Collectors.joining(","));
+  }
+
+  private static void reply(HttpExchange call, String body) throws IOException {
+    byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+    call.sendResponseHeaders(200, bytes.length);
+    call.getResponseBody().write(bytes);
+    call.close();
+  }
+
+  private interface Handler {
+    void handle(HttpExchange call) throws IOException;
+  }
+
+  private static HttpServer serve(String ip, Handler handler) throws IOException {
+    HttpServer server = HttpServer.create(new InetSocketAddress(ip, 0), 50);
+    server.setExecutor(Executors.newCachedThreadPool());
+    server.createContext("/", handler::handle);
+    server.start();
+    return server;
+  }
+
+  private static int freePort(String ip) throws IOException {
+    try (ServerSocket free = new ServerSocket()) {
+      free.bind(new InetSocketAddress(ip, 0));
+      return free.getLocalPort();
+    }
+  }
+}
