Take callers only once a host knows a configuration

Cause: after all hosts restart, they listened 0.4 to 1.5 s before they knew a configuration, and answered 503 to each of their callers with cold code: the refusals took the processor that the start needed, and claims of the coordination ran into their time-outs. Change: a host listens for callers once it is configured, or after 2.5 s. Test: GatewayTest.hostTakesCallersOnceItIsConfigured, red before. Ports are now picked together, and each test has clients of its own; the assertions are as they were.

--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -52,6 +52,12 @@
 
   private static final long CLEANING_MS = 1_000;
 
+  /**
+   * Time after which a host takes callers although it knows no configuration. Until then a refused
+   * connection sends them elsewhere, and the host has its processor for its own start.
+   */
+  private static final long OPENING_MS = 2_500;
+
   /** Hosts that share the retries and the targets' connections, at most. */
   private static final int LARGEST_FLEET = 26;
 
@@ -83,6 +89,7 @@
   private final TargetBook book;
   private final MetricsPage page;
   private final Server server;
+  private final CompletableFuture<Void> configured = new CompletableFuture<>();
   private StoreView view = StoreView.unknown();
   private volatile boolean ready;
   private boolean stopping;
@@ -152,6 +159,7 @@
       throws InterruptedException {
     GatewayHost host = new GatewayHost(settings, group, loop, store, orders, dialect, random);
     host.fleet.listen(HostAndPort.fromString(settings.linkAddress()));
+    host.configured.completeOnTimeout(null, OPENING_MS, TimeUnit.MILLISECONDS).join();
     host.server.start().join();
     Logger.info(
         "host {} of {} serves callers on {}",
@@ -209,6 +217,9 @@
     boolean member = newView.members().contains(settings.host());
     gateway.onMembership(member);
     ready = newView.configuration() != null && member && !stopping;
+    if (newView.configuration() != null) {
+      configured.complete(null);
+    }
   }
 
   private void onFleet(FleetState state) {
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/FixedStore.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/FixedStore.java
@@ -10,10 +10,10 @@
 import org.cowslipmoor.schema.fleet.StoreNews;
 
 /** A store that tells one view and takes no calls. */
-record FixedStore(StoreView view) implements SharedStore {
+record FixedStore(StoreView view, CompletableFuture<Void> answer) implements SharedStore {
   @Override
   public void follow(Consumer<StoreView> onChange) {
-    onChange.accept(view);
+    answer.thenRun(() -> onChange.accept(view));
   }
 
   @Override
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/GatewayTest.java
@@ -11,6 +11,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.linecorp.armeria.client.ClientFactory;
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpData;
@@ -25,7 +26,9 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -59,6 +62,12 @@
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final List<ScriptedTarget> targets = new ArrayList<>();
+  private final int[] ports = new int[4];
+
+  /** Of its own, since a kept connection to a host of another test may have the same address. */
+  private final ClientFactory clients = ClientFactory.builder().build();
+
+  private CompletableFuture<Void> storeAnswer = CompletableFuture.completedFuture(null);
   private GatewayHost host;
   private WebClient metrics;
   private ImmutableSet<String> members = ImmutableSet.of("host-1");
@@ -71,7 +80,8 @@
     for (ScriptedTarget t : targets) {
       t.close();
     }
-    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    clients.close();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
   }
 
   private ScriptedTarget target(String id, ScriptedTarget.Script script) throws IOException {
@@ -112,13 +122,27 @@
         configuration(), TargetDirectory.of(announced), table, 1, members, 1, null, true, 1);
   }
 
-  private WebClient start(StoreView view) throws Exception {
-    int[] ports = new int[4];
+  private WebClient client(int port) {
+    return WebClient.builder("h1c://127.0.0.1:" + port).factory(clients).build();
+  }
+
+  /** Picks the host's ports, all at a time, since a port that is free again may come twice. */
+  private void pickPorts() throws IOException {
+    if (ports[0] != 0) {
+      return;
+    }
+    List<ServerSocket> free = new ArrayList<>();
     for (int i = 0; i < ports.length; i++) {
-      try (ServerSocket free = new ServerSocket(0)) {
-        ports[i] = free.getLocalPort();
-      }
+      free.add(new ServerSocket(0));
+      ports[i] = free.get(i).getLocalPort();
     }
+    for (ServerSocket socket : free) {
+      socket.close();
+    }
+  }
+
+  private WebClient start(StoreView view) throws Exception {
+    pickPorts();
     GatewaySettings settings =
         new GatewaySettings(
             "host-1",
@@ -138,12 +162,12 @@
             settings,
             group,
             group.next(),
-            new FixedStore(view),
+            new FixedStore(view, storeAnswer),
             new NoOrders(),
             new PlainDialect(),
             new SplittableRandom(1));
-    metrics = WebClient.of("h1c://127.0.0.1:" + ports[3]);
-    return WebClient.of("h1c://127.0.0.1:" + ports[0]);
+    metrics = client(ports[3]);
+    return client(ports[0]);
   }
 
   private static AggregatedHttpResponse send(
@@ -385,6 +409,47 @@
     assertThat(t.connections.get(), is(1));
   }
 
+  /**
+   * Answers a start of all hosts under load: until a host knows where requests go, it leaves them
+   * to others by refusing connections, in place of spending its processor on refusals.
+   */
+  @Test
+  void hostTakesCallersOnceItIsConfigured() throws Exception {
+    ScriptedTarget t = target("t1", ScriptedTarget.ok("sheet"));
+    storeAnswer = new CompletableFuture<>();
+    CompletableFuture<WebClient> started = new CompletableFuture<>();
+    StoreView view = view("sheets", RangeTable.empty());
+    pickPorts();
+    Thread starter =
+        new Thread(
+            () -> {
+              try {
+                started.complete(start(view));
+              } catch (Exception e) {
+                started.completeExceptionally(e);
+              }
+            });
+    starter.start();
+    while (!isListening(ports[2])) {
+      Thread.onSpinWait();
+    }
+
+    assertThat(isListening(ports[0]), is(false));
+
+    group.next().execute(() -> storeAnswer.complete(null));
+    WebClient client = started.get(20, TimeUnit.SECONDS);
+    assertThat(send(client, HttpMethod.GET, "/safe/x", "").status().code(), is(200));
+    assertThat(t.requests, hasSize(1));
+  }
+
+  private static boolean isListening(int port) {
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      return socket.isConnected();
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
   private static DefaultHttpRequest get(String id) {
     DefaultHttpRequest request =
         new DefaultHttpRequest(
