Let one host watch the store and pass its news on

Change: the coordinator watches, and sends news over the members' links at once. Ruled out: rarer watches of every host; news would come later than the bounds of configuration and draining allow for when a call is lost as well.

--- a/core/src/main/java/org/cowslipmoor/core/fleet/FleetAggregator.java
+++ b/core/src/main/java/org/cowslipmoor/core/fleet/FleetAggregator.java
@@ -79,7 +79,8 @@
       long now,
       long tableVersion,
       ImmutableList<FleetState.MovingRange> moving,
-      ImmutableSet<String> candidates) {
+      ImmutableSet<String> candidates,
+      boolean relaysStore) {
     expire(now);
     Map<String, Integer> inFlight = new HashMap<>();
     for (Reported r : reports.values()) {
@@ -93,7 +94,12 @@
                 new FleetState.TargetState(
                     inFlight.getOrDefault(target, 0), (long) work.mean(0, 0))));
     return new FleetState(
-        Math.max(1, reports.size()), targets.buildOrThrow(), tableVersion, moving, candidates);
+        Math.max(1, reports.size()),
+        targets.buildOrThrow(),
+        tableVersion,
+        moving,
+        candidates,
+        relaysStore);
   }
 
   /** Returns the load of a keyed service and the speeds of its targets. */
--- a/core/src/main/java/org/cowslipmoor/core/fleet/FleetState.java
+++ b/core/src/main/java/org/cowslipmoor/core/fleet/FleetState.java
@@ -13,17 +13,19 @@
  * @param tableVersion version of the range table that {@code moving} refers to
  * @param moving ranges that are being taken back from their owners
  * @param candidates hosts that want to join
+ * @param relaysStore whether the coordinator hears the store, and passes on what it tells
  */
 public record FleetState(
     int hosts,
     ImmutableMap<String, TargetState> targets,
     long tableVersion,
     ImmutableList<MovingRange> moving,
-    ImmutableSet<String> candidates) {
+    ImmutableSet<String> candidates,
+    boolean relaysStore) {
 
   /** The state of a fleet of which nothing is known. */
   public static final FleetState UNKNOWN =
-      new FleetState(1, ImmutableMap.of(), 0, ImmutableList.of(), ImmutableSet.of());
+      new FleetState(1, ImmutableMap.of(), 0, ImmutableList.of(), ImmutableSet.of(), false);
 
   /**
    * What all hosts together have seen of one target.
--- a/daemon/src/main/java/org/cowslipmoor/daemon/codec/FleetCodec.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/codec/FleetCodec.java
@@ -77,6 +77,7 @@
         org.cowslipmoor.schema.fleet.FleetState.newBuilder()
             .setHosts(state.hosts())
             .setTableVersion(state.tableVersion())
+            .setRelaysStore(state.relaysStore())
             .addAllCandidates(state.candidates());
     state
         .targets()
@@ -119,7 +120,8 @@
         targets.buildOrThrow(),
         message.getTableVersion(),
         moving.build(),
-        ImmutableSet.copyOf(message.getCandidatesList()));
+        ImmutableSet.copyOf(message.getCandidatesList()),
+        message.getRelaysStore());
   }
 
   private static ImmutableMap<Integer, Integer> decodeCounts(KeyLoad load) {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
@@ -1,11 +1,12 @@
 package org.cowslipmoor.daemon.coordination;
 
-import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.net.HostAndPort;
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -95,7 +96,7 @@
       onReport(host, own);
       decideMembers();
       broadcast();
-      relayNews();
+      relayLateNews();
       return;
     }
     membership = null;
@@ -114,6 +115,16 @@
   /** Takes a change of what the store says. */
   public void onView(StoreView newView) {
     aggregator.retain(newView.directory().all().keySet());
+    if (coordination.isCoordinator()) {
+      relayNews(newView.revision());
+    }
+  }
+
+  /** Tells the other hosts to ask the store themselves, since this one is about to stop. */
+  public void endRelay() {
+    if (coordination.isCoordinator()) {
+      broadcast(false);
+    }
   }
 
   @Override
@@ -175,13 +186,18 @@
   }
 
   private void broadcast() {
+    broadcast(coordination.lease() != null && store.isCurrent(System.nanoTime()));
+  }
+
+  private void broadcast(boolean relaysStore) {
     long now = System.nanoTime();
     FleetState state =
         aggregator.state(
             now,
             coordination.tableVersion(),
             coordination.moving(),
-            membership == null ? ImmutableSet.of() : membership.candidates(now));
+            membership == null ? ImmutableSet.of() : membership.candidates(now),
+            relaysStore);
     Envelope frame = Envelope.newBuilder().setFleetState(FleetCodec.encodeState(state)).build();
     for (String other : aggregator.hosts(now).keySet()) {
       if (!other.equals(host)) {
@@ -191,23 +207,37 @@
     onFleet.accept(state);
   }
 
-  /** Sends the store's news to hosts that still lack what was known here some time ago. */
-  private void relayNews() {
+  /**
+   * Sends the store's news once more to hosts that still lack what was known here some time ago:
+   * they have just started, or a link was down.
+   */
+  private void relayLateNews() {
     long now = System.nanoTime();
     if (now - settleAt >= RELAY_DELAY) {
       settleAt = now;
       settledRevision = nextSettledRevision;
       nextSettledRevision = view.get().revision();
     }
-    ImmutableMap<String, Long> hosts = aggregator.hosts(now);
-    hosts.forEach(
-        (other, revision) -> {
-          if (!other.equals(host) && revision < settledRevision) {
-            StoreNews news = store.newsSince(revision);
-            Logger.info("relays {} items of the store to {}", news.getItemsCount(), other);
-            links.send(other, Envelope.newBuilder().setStoreNews(news).build());
-          }
-        });
+    relayNews(settledRevision);
+  }
+
+  /** Sends the store's news to the hosts that do not know a revision yet, as far as they told. */
+  private void relayNews(long revision) {
+    Map<Long, Envelope> frames = new HashMap<>();
+    aggregator
+        .hosts(System.nanoTime())
+        .forEach(
+            (other, known) -> {
+              if (!other.equals(host) && known < revision) {
+                links.send(other, frames.computeIfAbsent(known, this::news));
+              }
+            });
+  }
+
+  private Envelope news(long since) {
+    StoreNews news = store.newsSince(since);
+    Logger.debug("relays {} items of the store since {}", news.getItemsCount(), since);
+    return Envelope.newBuilder().setStoreNews(news).build();
   }
 
   private Optional<InetSocketAddress> linkAddress(String member) {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/SharedStore.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/SharedStore.java
@@ -18,10 +18,15 @@
   void follow(Consumer<StoreView> onChange);
 
   /**
-   * Tells whether news may reach this host by no other way than its own watch, which may wait on a
-   * connection that has gone silent; while that is so, the store is asked often.
+   * Tells whether another host passes the store's news on to this one; while that is so, this host
+   * does not ask the store itself.
    */
-  void setDoubtful(boolean doubtful);
+  void setRelayed(boolean relayed);
+
+  /**
+   * Tells whether the store has answered lately, so that what is known here is its newest state.
+   */
+  boolean isCurrent(long now);
 
   /** Returns what was written after a revision, for a host that can't reach the store. */
   StoreNews newsSince(long revision);
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
@@ -103,6 +103,11 @@
     book.onFleet(newState, now);
   }
 
+  /** Returns what all hosts together have seen, as it was last told. */
+  public FleetState fleet() {
+    return fleet;
+  }
+
   /** Notes whether every member has approved this host. */
   public void onMembership(boolean isMember) {
     member = isMember;
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -182,6 +182,7 @@
         () -> {
           stopping = true;
           gateway.stop();
+          fleet.endRelay();
           coordination.resign();
         });
     CompletableFuture<Void> idle = new CompletableFuture<>();
@@ -232,7 +233,10 @@
     gateway.onLag(now - lastTickAt - TimeUnit.MILLISECONDS.toNanos(TICK_MS), now);
     lastTickAt = now;
     coordination.tick();
-    store.setDoubtful(coordination.isCoordinator() || now - fleetHeardAt >= FLEET_SILENCE_NANOS);
+    store.setRelayed(
+        gateway.fleet().relaysStore()
+            && !coordination.isCoordinator()
+            && now - fleetHeardAt < FLEET_SILENCE_NANOS);
   }
 
   private HostReport report() {
