Keep large answers in the caller's data centre while they are on time

Change: a byte from another data centre weighs 1 us in place of 0.4. Test: TargetBookTest.largeAnswersStayNearWhileTheyAreOnTime.

--- a/core/src/main/java/org/cowslipmoor/core/admission/TargetBook.java
+++ b/core/src/main/java/org/cowslipmoor/core/admission/TargetBook.java
@@ -46,7 +46,7 @@
   private static final double QUEUE_PER_SLOT = 2;
 
   /** Extra cost of a byte that comes from another data centre, against a nanosecond of waiting. */
-  private static final double REMOTE_NANOS_PER_BYTE = 400;
+  private static final double REMOTE_NANOS_PER_BYTE = 1_000;
 
   /** Round trip between data centres. */
   private static final double REMOTE_NANOS = 3 * MS;
--- a/core/src/test/java/org/cowslipmoor/core/admission/TargetBookTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/admission/TargetBookTest.java
@@ -59,6 +59,20 @@
     assertThat(placed(List.of(target("far", "giza"), target("near", "cairo"))), is("near"));
   }
 
+  /** Answers large downloads, which cost the links between data centres more than a wait. */
+  @Test
+  void largeAnswersStayNearWhileTheyAreOnTime() {
+    DiscoveredTarget near = target("near", "cairo");
+    DiscoveredTarget far = target("far", "giza");
+    for (int i = 0; i < 40; i++) {
+      book.onSend(near, NOW);
+      book.onAnswer(near, NOW, 90 * MS, 90_000, null);
+    }
+    fleet("near", 0, 90);
+    fleet("far", 0, 30);
+    assertThat(placed(List.of(far, near)), is("near"));
+  }
+
   /** Answers other hosts' requests, which this host does not see. */
   @Test
   void targetThatOtherHostsFillIsAvoided() {
