Check sole ownership while keys move by load

The world of the ownership properties had even load, so no key was ever cut out and moved there while orders and targets fail. A property now rushes to some keys before each fault, and asks as well that keys move at all. No fault was found.

--- a/core/src/test/java/org/cowslipmoor/core/range/RangeOwnershipProperties.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/RangeOwnershipProperties.java
@@ -14,6 +14,9 @@
 final class RangeOwnershipProperties {
   private static final int STEPS = 25;
 
+  /** Keys of a rush; more than lie between the keys that the world checks. */
+  private static final int RUSH_KEYS = 2_000;
+
   @Property(tries = 60, seed = "20261204")
   void keysHaveOneOwnerUnderRandomFaults(@ForAll long seed) {
     RangeWorld world = new RangeWorld(seed, 5, 0.25, 1);
@@ -33,6 +36,28 @@
     assertThat(world.servedShare(), is(1.0));
   }
 
+  /** Answers rushes to some keys, which are cut out and moved while targets and orders fail. */
+  @Property(tries = 20, seed = "20261204")
+  void keysThatMoveByLoadKeepOneOwner(@ForAll long seed) {
+    RangeWorld world = new RangeWorld(seed, 5, 0.25, 1);
+    SplittableRandom random = new SplittableRandom(seed + 1);
+    world.run(3_000 * RangeWorld.MS);
+    final int calmWrites = world.moves;
+    world.load = rush(random);
+    // A grant without an answer has to lapse before its keys can move.
+    world.run(10_000 * RangeWorld.MS);
+    assertThat(world.moves, greaterThan(calmWrites));
+
+    disturb(world, seed, () -> world.load = rush(random));
+
+    assertThat(world.violations, is(0));
+  }
+
+  private static ServiceLoad rush(SplittableRandom random) {
+    int from = random.nextInt(KeyRange.LAST_KEY - RUSH_KEYS);
+    return TestLoads.hotAt(new KeyRange(from, from + RUSH_KEYS - 1), 0.6);
+  }
+
   /** Answers targets behind a cut: they release late, for the former coordinator, and come back. */
   @Property(tries = 30, seed = "20261204")
   void targetThatComesBackAfterItsReleaseKeepsOneOwner(@ForAll long seed) {
@@ -61,9 +86,14 @@
   }
 
   private static void disturb(RangeWorld world, long seed) {
+    disturb(world, seed, () -> {});
+  }
+
+  private static void disturb(RangeWorld world, long seed, Runnable beforeStep) {
     SplittableRandom random = new SplittableRandom(seed);
     world.run(2_000 * RangeWorld.MS);
     for (int i = 0; i < STEPS; i++) {
+      beforeStep.run();
       List<String> ids = new ArrayList<>(world.targets.keySet());
       ids.sort(null);
       String id = ids.get(random.nextInt(ids.size()));
--- a/core/src/test/java/org/cowslipmoor/core/range/RangePlannerTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/RangePlannerTest.java
@@ -26,15 +26,6 @@
 
   private static final int KEYS = KeyRange.LAST_KEY + 1;
 
-  private static ServiceLoad hotAt(KeyRange hot, double share) {
-    double[] weights = new double[KEYS];
-    Arrays.fill(weights, (1 - share) / KEYS);
-    for (int key = hot.from(); key <= hot.to(); key++) {
-      weights[key] += share / hot.size();
-    }
-    return ServiceLoad.of(weights, ImmutableMap.of());
-  }
-
   private static ImmutableList<RangeEntry> evenly(ImmutableList<DiscoveredTarget> targets) {
     return new RangePlanner(targets, ServiceLoad.even()).initial(SERVICE, 0);
   }
@@ -66,7 +57,7 @@
     ImmutableList<DiscoveredTarget> targets =
         ImmutableList.of(target("a"), target("b"), target("c"), target("d"));
     KeyRange hot = new KeyRange(6_400, 6_400);
-    ServiceLoad load = hotAt(hot, 0.4);
+    ServiceLoad load = TestLoads.hotAt(hot, 0.4);
 
     ImmutableList<RangePlanner.Move> moves =
         new RangePlanner(targets, load).moves(evenly(targets), Set.of());
@@ -104,7 +95,7 @@
       all.add(target("t" + (char) ('a' + i)));
     }
     ImmutableList<DiscoveredTarget> targets = all.build();
-    ServiceLoad load = hotAt(new KeyRange(6_400, 6_459), 0.4);
+    ServiceLoad load = TestLoads.hotAt(new KeyRange(6_400, 6_459), 0.4);
     ImmutableList<RangeEntry> placed = evenly(targets);
 
     ImmutableList<RangePlanner.Move> moves =
@@ -124,7 +115,7 @@
   void fixedEntriesAreNotCut() {
     ImmutableList<DiscoveredTarget> targets = ImmutableList.of(target("a"), target("b"));
     ImmutableList<RangeEntry> placed = evenly(targets);
-    ServiceLoad load = hotAt(new KeyRange(0, 99), 0.6);
+    ServiceLoad load = TestLoads.hotAt(new KeyRange(0, 99), 0.6);
 
     ImmutableList<RangePlanner.Move> moves =
         new RangePlanner(targets, load).moves(placed, Set.of(placed.get(0)));
