Send a request only twice to an owner that does not hold its key

Cause: a target ended and its address went to another service. Ruled out: retries of other kinds; the trace shows 421 after 421 of one target. Change: after two such answers a request waits for another table of key ranges, and is refused as not run when none comes in its time. Test: GatewayTest.requestGoesOnlyTwiceToAnOwnerThatDoesNotHoldItsKey, red before.

--- a/core/src/test/java/org/cowslipmoor/core/admission/TargetBookTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/admission/TargetBookTest.java
@@ -63,14 +63,13 @@
   @Test
   void largeAnswersStayNearWhileTheyAreOnTime() {
     DiscoveredTarget near = target("near", "cairo");
-    DiscoveredTarget far = target("far", "giza");
     for (int i = 0; i < 40; i++) {
       book.onSend(near, NOW);
       book.onAnswer(near, NOW, 90 * MS, 90_000, null);
     }
     fleet("near", 0, 90);
     fleet("far", 0, 30);
-    assertThat(placed(List.of(far, near)), is("near"));
+    assertThat(placed(List.of(target("far", "giza"), near)), is("near"));
   }
 
   /** Answers other hosts' requests, which this host does not see. */
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
@@ -35,6 +35,9 @@
   private static final long OWNER_CHECK = 20 * MS;
   private static final long RESEND_DELAY = 60 * MS;
 
+  /** Times that a request goes to a key's owner that does not hold it, until the owner changes. */
+  private static final int MOST_MISDIRECTIONS = 2;
+
   /** Time after which a caller may find that a key has an owner again. */
   private static final long OWNER_RETRY = 300 * MS;
 
@@ -64,6 +67,8 @@
   private long objectiveAt;
   private long ownerWaitUntil;
   private int sendings;
+  private int misdirections;
+  private long misdirectedVersion;
   private boolean mayHaveRun;
   private boolean retryGranted;
   private boolean over;
@@ -209,6 +214,9 @@
         new RequestNeeds(objectiveAt - startedAt, deadlineAt - now, rule().priority());
     CallerHead told = head;
     if (isKeyed() && told != null && told.key() != null) {
+      if (misdirections >= MOST_MISDIRECTIONS && tableVersion() == misdirectedVersion) {
+        return new Placement.NoTarget();
+      }
       Optional<DiscoveredTarget> owner = gateway.owner(service, told.key(), now);
       return owner.isPresent()
           ? gateway.book().admit(owner.get(), needs, now)
@@ -264,6 +272,10 @@
       return;
     }
     long now = System.nanoTime();
+    if (failed.isMisdirected()) {
+      misdirections = misdirectedVersion == tableVersion() ? misdirections + 1 : 1;
+      misdirectedVersion = tableVersion();
+    }
     if (failed.isMisdirected() && mayRetry(failed, now)) {
       retryGranted = false;
       gateway.count(GatewayMetric.RETRIES);
@@ -417,6 +429,10 @@
     return c == null ? null : c.services().get(service);
   }
 
+  private long tableVersion() {
+    return gateway.view().table().version();
+  }
+
   private boolean isKeyed() {
     ServiceDescription description = description();
     return description != null && description.keyed() && head != null && head.key() != null;
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/GatewayTest.java
@@ -409,6 +409,19 @@
     assertThat(t.connections.get(), is(1));
   }
 
+  /** Answers an owner whose address runs another service: each further try is load on that one. */
+  @Test
+  void requestGoesOnlyTwiceToAnOwnerThatDoesNotHoldItsKey() throws Exception {
+    ScriptedTarget t = target("t", id -> ScriptedTarget.answer("421 Misdirected Request", id, ""));
+    RangeTable table = RangeTable.of(1, 1, List.of(entry(t, 0, KeyRange.LAST_KEY, 1)));
+    WebClient client = start(view("stock", table));
+
+    AggregatedHttpResponse response = send(client, HttpMethod.GET, "/keyed/a", "", "key", "5");
+
+    assertThat(response.status().code(), is(503));
+    assertThat(t.requests, hasSize(2));
+  }
+
   /**
    * Answers a start of all hosts under load: until a host knows where requests go, it leaves them
    * to others by refusing connections, in place of spending its processor on refusals.
