Let the ownership world forget holds that have lapsed

Cause: a fake target kept every renewal that it was ever given, and each step looks through all of them. Change: lapsed holds are dropped, and a fence that was seen before is kept once. What the world decides and what the properties assert is unchanged; the broken variant (targets that hold too long) is still found.

--- a/core/src/test/java/org/cowslipmoor/core/range/RangeWorld.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/RangeWorld.java
@@ -3,9 +3,11 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.discovery.TargetDirectory;
@@ -52,7 +54,7 @@
     boolean running = true;
     boolean announcing = true;
     private final List<Held> held = new ArrayList<>();
-    private final List<Held> seen = new ArrayList<>();
+    private final Set<Held> seen = new HashSet<>();
 
     FakeTarget(DiscoveredTarget announced) {
       this.announced = announced;
@@ -199,6 +201,7 @@
       return GrantOutcome.FENCED;
     }
     long until = arrival + (long) (a.holdNanos() * SLOW_CLOCK * holdFactor);
+    t.held.removeIf(h -> h.until() <= now);
     if (until > now) {
       t.held.add(new Held(range, fence, until));
     }
