Say once how an entry goes to another target, and how many keys there are

The planned and the written entry of a moved range were built by hand in two places; RangeEntry.ownedBy serves both. KeyRange.ALL.size() stands in place of four copies of the number of keys. The training stand-in reads revisions from its items in place of parsing its own JSON.

--- a/core/src/main/java/org/cowslipmoor/core/range/Holding.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/Holding.java
@@ -65,10 +65,7 @@
   /** Returns the entry as it will be once the keys have reached their destination. */
   RangeEntry placed() {
     DiscoveredTarget to = destination;
-    return to == null
-        ? entry
-        : new RangeEntry(
-            entry.service(), entry.range(), to.life(), to.address(), entry.fence(), null);
+    return to == null ? entry : entry.ownedBy(to, entry.fence(), null);
   }
 
   /** Tells whether the owner, as far as it still runs, surely does not hold the keys any more. */
--- a/core/src/main/java/org/cowslipmoor/core/range/KeyLoadMeter.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/KeyLoadMeter.java
@@ -67,6 +67,6 @@
   }
 
   private double[] keys(String service) {
-    return counts.computeIfAbsent(service, unused -> new double[KeyRange.LAST_KEY + 1]);
+    return counts.computeIfAbsent(service, unused -> new double[KeyRange.ALL.size()]);
   }
 }
--- a/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
@@ -299,14 +299,7 @@
         continue;
       }
       lastFence++;
-      RangeEntry e =
-          new RangeEntry(
-              h.entry.service(),
-              h.entry.range(),
-              next.get().life(),
-              next.get().address(),
-              lastFence,
-              h.handover);
+      RangeEntry e = h.entry.ownedBy(next.get(), lastFence, h.handover);
       holdings.set(holdings.indexOf(h), new Holding(e, now));
       mustWrite = true;
     }
--- a/core/src/main/java/org/cowslipmoor/core/range/RangeEntry.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/RangeEntry.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
+import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.discovery.TargetLife;
 import org.jspecify.annotations.Nullable;
 
@@ -33,6 +34,11 @@
     return new RangeEntry(service, new KeyRange(from, to), owner, address, fence, handover);
   }
 
+  /** Returns an entry by which another target has these keys. */
+  RangeEntry ownedBy(DiscoveredTarget target, long newFence, @Nullable String newHandover) {
+    return new RangeEntry(service, range, target.life(), target.address(), newFence, newHandover);
+  }
+
   /** Returns this entry under a higher fence, with the same owner. */
   RangeEntry withFence(long newFence) {
     return new RangeEntry(service, range, owner, address, newFence, null);
--- a/core/src/main/java/org/cowslipmoor/core/range/ServiceLoad.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/ServiceLoad.java
@@ -10,7 +10,7 @@
  * work. Immutable.
  */
 public final class ServiceLoad {
-  private static final int KEYS = KeyRange.LAST_KEY + 1;
+  private static final int KEYS = KeyRange.ALL.size();
 
   /** Part of the work that falls on the keys below each key; one entry more than there are keys. */
   private final double[] below;
--- a/core/src/test/java/org/cowslipmoor/core/range/RangePlannerTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/RangePlannerTest.java
@@ -24,7 +24,7 @@
     return new DiscoveredTarget(new TargetLife(id, 1), SERVICE, id + ":1", "cairo", 4, false, 0);
   }
 
-  private static final int KEYS = KeyRange.LAST_KEY + 1;
+  private static final int KEYS = KeyRange.ALL.size();
 
   private static ImmutableList<RangeEntry> evenly(ImmutableList<DiscoveredTarget> targets) {
     return new RangePlanner(targets, ServiceLoad.even()).initial(SERVICE, 0);
--- a/core/src/test/java/org/cowslipmoor/core/range/TestLoads.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/TestLoads.java
@@ -5,7 +5,7 @@
 
 /** Loads of services for tests. */
 final class TestLoads {
-  private static final int KEYS = KeyRange.LAST_KEY + 1;
+  private static final int KEYS = KeyRange.ALL.size();
 
   private TestLoads() {}
 
--- a/deploy/training/TrainingPlatform.java
+++ b/deploy/training/TrainingPlatform.java
@@ -48,9 +48,17 @@
                     {"name":"sheets","max_conns":100},{"name":"orders","max_conns":100}]}
       """;
 
-  private final Map<String, String> items = new TreeMap<>();
+  private final Map<String, Item> items = new TreeMap<>();
   private long revision = 1;
 
+  /** An item of the store; the value is base64 text. */
+  private record Item(String key, String value, long revision) {
+    String json() {
+      return "{\"key\":\"%s\",\"value\":\"%s\",\"revision\":%d,\"create_rev\":%d,\"lease\":0}"
+          .formatted(key, value, revision, revision);
+    }
+  }
+
   private TrainingPlatform() {}
 
   /** Serves one training. */
@@ -146,8 +154,7 @@
     } else if (path.equals("/v1/kv-txn")) {
       Matcher put = PUT.matcher(body);
       while (put.find()) {
-        revision++;
-        items.put(put.group(1), item(put.group(1), put.group(2)));
+        write(put.group(1), put.group(2));
       }
       reply(call, "{\"revision\":%d}".formatted(revision));
     } else if (path.equals("/v1/kv-key")) {
@@ -170,19 +177,18 @@
   }
 
   private synchronized void put(String key, String value) {
-    revision++;
-    items.put(
-        key, item(key, Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8))));
+    write(key, Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8)));
   }
 
-  private String item(String key, String value) {
-    return "{\"key\":\"%s\",\"value\":\"%s\",\"revision\":%d,\"create_rev\":%d,\"lease\":0}"
-        .formatted(key, value, revision, revision);
+  private void write(String key, String value) {
+    revision++;
+    items.put(key, new Item(key, value, revision));
   }
 
   private String all(long after) {
     return items.values().stream()
-        .filter(i -> Long.parseLong(i.replaceAll(".*\"revision\":(\\d+).*", "$1")) > after)
+        .filter(i -> i.revision() > after)
+        .map(Item::json)
         .collect(Collectors.joining(","));
   }
 
