Let the test dialect tell that an answer is misdirected

Change: 421 counts as misdirected, and so as not run, as the platform's dialect has it. The test's assertions are as they were.

--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/PlainDialect.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/PlainDialect.java
@@ -3,6 +3,7 @@
 import com.linecorp.armeria.common.RequestHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 
 /** Headers under plain names. */
 final class PlainDialect implements Dialect {
@@ -22,7 +23,8 @@
 
   @Override
   public AnswerHead readAnswer(HttpResponse head) {
-    boolean notRun = head.headers().contains("not-run");
-    return new AnswerHead(head.headers().get("request-id"), notRun, false, null);
+    boolean misdirected = head.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
+    boolean notRun = misdirected || head.headers().contains("not-run");
+    return new AnswerHead(head.headers().get("request-id"), notRun, misdirected, null);
   }
 }
