--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/GatewayTest.java
@@ -428,7 +428,7 @@
    */
   @Test
   void hostTakesCallersOnceItIsConfigured() throws Exception {
-    ScriptedTarget t = target("t1", ScriptedTarget.ok("sheet"));
+    final ScriptedTarget t = target("t1", ScriptedTarget.ok("sheet"));
     storeAnswer = new CompletableFuture<>();
     CompletableFuture<WebClient> started = new CompletableFuture<>();
     StoreView view = view("sheets", RangeTable.empty());
