Log what changes who holds which keys, as structured lines

Grants were logged at debug only, lapses and restarts by which keys become free not at all, so that an overlap of two coordinators, an order that a slow host sent late and an end of an owner that was inferred left the same lines. Change: tenure, lease, table write, grant, release and each change of owner are one line each at info, with keys, fence, hold, age of the lease, outcome, and for a change of owner the reason and what may still hold. Lines go out through the log as before; it has no queue of its own. No decision changes.

--- a/core/src/main/java/org/cowslipmoor/core/range/Holding.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/Holding.java
@@ -76,4 +76,20 @@
     boolean settled = now - unsettledUntil >= 0 && now - inheritedUntil >= 0;
     return settled && (isReleased || now - heldUntil >= 0);
   }
+
+  /** Describes the decision that {@code next} takes the place of this holding's entry. */
+  RangeListener.Reassignment reassigned(RangeEntry next, long now) {
+    RangeListener.Reason reason =
+        isFree(now)
+            ? isReleased ? RangeListener.Reason.RELEASED : RangeListener.Reason.LAPSED
+            : RangeListener.Reason.RESTARTED;
+    return new RangeListener.Reassignment(
+        entry,
+        next,
+        reason,
+        now - acceptedAt,
+        heldUntil - now,
+        unsettledUntil - now,
+        inheritedUntil - now);
+  }
 }
--- a/core/src/main/java/org/cowslipmoor/core/range/Leadership.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/Leadership.java
@@ -161,6 +161,11 @@
     return leads(now) && now - renewedAt < ttl / 2;
   }
 
+  /** Returns the nanoseconds since the last renewal that succeeded was sent. */
+  public long sinceRenewal(long now) {
+    return now - renewedAt;
+  }
+
   /** Returns the lease; null when this host holds none. */
   public @Nullable Lease lease() {
     return lease;
--- a/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
@@ -34,6 +34,7 @@
   private static final long WRITE_PAUSE = 150_000_000L;
 
   private final RangeTiming timing;
+  private final RangeListener listener;
   private final List<Holding> holdings = new ArrayList<>();
   private final Map<String, Settling> settling = new HashMap<>();
   private long version;
@@ -46,8 +47,10 @@
 
   private record Settling(ImmutableSet<String> targets, long since, long firstSeen) {}
 
-  private RangeCoordinator(RangeTable stored, RangeTiming timing, long now) {
+  private RangeCoordinator(
+      RangeTable stored, RangeTiming timing, RangeListener listener, long now) {
     this.timing = timing;
+    this.listener = listener;
     this.version = stored.version();
     this.lastFence = stored.lastFence();
     this.nextRebalanceAt = now + timing.rebalance();
@@ -66,10 +69,12 @@
    *
    * @param stored the table in the store
    * @param timing durations of grants
+   * @param listener is told of decisions
    * @param now the present time in nanoseconds
    */
-  public static RangeCoordinator begin(RangeTable stored, RangeTiming timing, long now) {
-    return new RangeCoordinator(stored, timing, now);
+  public static RangeCoordinator begin(
+      RangeTable stored, RangeTiming timing, RangeListener listener, long now) {
+    return new RangeCoordinator(stored, timing, listener, now);
   }
 
   /** Does what is due; to be called every few tens of milliseconds while the lease is held. */
@@ -300,6 +305,7 @@
       }
       lastFence++;
       RangeEntry e = h.entry.ownedBy(next.get(), lastFence, h.handover);
+      listener.onReassigned(h.reassigned(e, now));
       holdings.set(holdings.indexOf(h), new Holding(e, now));
       mustWrite = true;
     }
--- a/core/src/test/java/org/cowslipmoor/core/range/RangeWorld.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/RangeWorld.java
@@ -82,7 +82,7 @@
     for (int i = 0; i < targetCount; i++) {
       addTarget("t" + i);
     }
-    coordinator = RangeCoordinator.begin(stored, timing, now);
+    coordinator = RangeCoordinator.begin(stored, timing, RangeListener.NONE, now);
   }
 
   void addTarget(String id) {
@@ -120,7 +120,7 @@
 
   /** Another host takes the coordination over. */
   void replaceCoordinator() {
-    coordinator = RangeCoordinator.begin(stored, timing, now);
+    coordinator = RangeCoordinator.begin(stored, timing, RangeListener.NONE, now);
   }
 
   void run(long duration) {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/Coordination.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/Coordination.java
@@ -34,9 +34,11 @@
   private final Supplier<StoreView> view;
   private final Function<String, ServiceLoad> loads;
   private final HostClock clock;
+  private final OwnershipLog log;
   private Runnable onMoving = () -> {};
   private @Nullable RangeCoordinator coordinator;
   private boolean isReading;
+  private boolean wasCertain;
   private long tableRevision;
 
   /**
@@ -59,12 +61,15 @@
     this.view = view;
     this.loads = loads;
     this.clock = new HostClock(System.nanoTime(), timeOfDay());
+    this.log = OwnershipLog.create(System.nanoTime());
   }
 
   /** Does what is due; to be called every few tens of milliseconds. */
   public void tick() {
     long now = System.nanoTime();
     checkSuspension(now);
+    log.tick(now);
+    noteCertainty(now);
     StoreView v = view.get();
     leadership.onVacancy(now, v.isLoaded() && v.coordinator() == null);
     leadership.tick(now).ifPresent(this::call);
@@ -124,6 +129,14 @@
     }
   }
 
+  private void noteCertainty(long now) {
+    boolean certain = leadership.isCertain(now);
+    if (certain != wasCertain) {
+      wasCertain = certain;
+      log.onLease(certain, leadership.sinceRenewal(now));
+    }
+  }
+
   private void call(Leadership.Action action) {
     long sentAt = System.nanoTime();
     switch (action) {
@@ -151,7 +164,7 @@
     switch (result) {
       case DONE -> leadership.onRenewed(sentAt);
       case REFUSED -> {
-        Logger.warn("the coordinator's lease has ended in the store");
+        log.onTenureEnd("the lease has ended in the store");
         leadership.onLost(System.nanoTime());
         coordinator = null;
       }
@@ -173,11 +186,8 @@
               long now = System.nanoTime();
               if (result.known() && leadership.leads(now)) {
                 tableRevision = result.revision();
-                coordinator = RangeCoordinator.begin(result.table(), timing, now);
-                Logger.info(
-                    "begins with table {} of {} ranges",
-                    result.table().version(),
-                    result.table().entries().size());
+                coordinator = RangeCoordinator.begin(result.table(), timing, log, now);
+                log.onTenure(result.table(), leadership.lease());
               }
             });
   }
@@ -209,23 +219,28 @@
   }
 
   private void grant(RangeCoordinator c, RangeAction.Grant grant) {
+    long decidedAt = System.nanoTime();
+    long leaseAge = leadership.sinceRenewal(decidedAt);
     orders
         .grant(grant.entry(), grant.holdNanos())
         .thenAccept(
             outcome -> {
-              Logger.debug("grant of {} ended as {}", grant.entry(), outcome);
-              c.onGrant(System.nanoTime(), grant.entry(), outcome);
+              long now = System.nanoTime();
+              log.onGrant(grant.entry(), grant.holdNanos(), outcome, now - decidedAt, leaseAge);
+              c.onGrant(now, grant.entry(), outcome);
             });
   }
 
   private void release(RangeCoordinator c, RangeEntry entry) {
     onMoving.run();
+    long decidedAt = System.nanoTime();
     orders
         .release(entry)
         .thenAccept(
             released -> {
-              Logger.info("release of {} done: {}", entry, released.done());
-              c.onRelease(System.nanoTime(), entry, released.done(), released.handover());
+              long now = System.nanoTime();
+              log.onRelease(entry, released, now - decidedAt);
+              c.onRelease(now, entry, released.done(), released.handover());
             });
   }
 
@@ -234,15 +249,15 @@
     if (lease == null) {
       return;
     }
+    long decidedAt = System.nanoTime();
     store
         .write(table, tableRevision, lease)
         .thenAccept(
             result -> {
+              log.onWrite(table, result.result(), System.nanoTime() - decidedAt);
               switch (result.result()) {
                 case DONE -> {
                   tableRevision = result.revision();
-                  Logger.info(
-                      "wrote table {} of {} ranges", table.version(), table.entries().size());
                   c.onWritten(table);
                 }
                 case REFUSED -> endTenure(c, "another table is in the store");
@@ -275,7 +290,7 @@
   }
 
   private void endTenure(RangeCoordinator c, String reason) {
-    Logger.warn("the state of the ranges is read again: {}", reason);
+    log.onTenureEnd(reason);
     if (coordinator == c) {
       coordinator = null;
     }
--- /dev/null
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/coordination/OwnershipLogTest.java
@@ -0,0 +1,81 @@
+package org.cowslipmoor.daemon.coordination;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.hasSize;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.cowslipmoor.core.discovery.TargetLife;
+import org.cowslipmoor.core.range.GrantOutcome;
+import org.cowslipmoor.core.range.KeyRange;
+import org.cowslipmoor.core.range.Leadership;
+import org.cowslipmoor.core.range.RangeEntry;
+import org.cowslipmoor.core.range.RangeListener;
+import org.cowslipmoor.core.range.RangeTable;
+import org.junit.jupiter.api.Test;
+
+final class OwnershipLogTest {
+  private static final long MS = 1_000_000L;
+  private static final long HOLD = 3_000 * MS;
+  private static final RangeEntry ENTRY =
+      new RangeEntry("stock", new KeyRange(0, 9), new TargetLife("t1", 5), "t1:1", 7, null);
+
+  private final List<String> lines = new ArrayList<>();
+  private final OwnershipLog log = OwnershipLog.to(lines::add, 0);
+
+  @Test
+  void eachEventHasOneLine() {
+    RangeTable table = RangeTable.of(3, 7, List.of(ENTRY));
+    RangeEntry next =
+        new RangeEntry("stock", new KeyRange(0, 9), new TargetLife("t2", 6), "t2:1", 8, null);
+
+    log.onTenure(table, new Leadership.Lease(11, 12));
+    log.onLease(false, 800 * MS);
+    log.onWrite(table, SharedStore.CallResult.UNKNOWN, 9 * MS);
+    log.onGrant(ENTRY, HOLD, GrantOutcome.UNKNOWN, 600 * MS, 100 * MS);
+    log.onRelease(ENTRY, new TargetOrders.Released(true, "x"), 40 * MS);
+    log.onReassigned(
+        new RangeListener.Reassignment(
+            ENTRY, next, RangeListener.Reason.LAPSED, 4 * MS, -3 * MS, -2 * MS, -MS));
+    log.onTenureEnd("another table is in the store");
+
+    String entry = "service=stock from=0 to=9 owner=t1 life=5 address=t1:1 fence=7";
+    assertThat(
+        lines,
+        contains(
+            "event=tenure_begin table=3 ranges=1 last_fence=7 lease=11 term=12",
+            "event=lease certain=false renewed_ago_ms=800",
+            "event=table_write table=3 ranges=1 last_fence=7 result=UNKNOWN took_ms=9",
+            "event=grant " + entry + " hold_ms=3000 outcome=UNKNOWN took_ms=600 lease_age_ms=100",
+            "event=release " + entry + " done=true handover=true took_ms=40",
+            "event=reassign "
+                + entry
+                + " next=t2 next_life=6 next_fence=8 reason=LAPSED accepted_ago_ms=4"
+                + " held_for_ms=-3 unsettled_for_ms=-2 inherited_for_ms=-1",
+            "event=tenure_end reason=\"another table is in the store\""));
+  }
+
+  @Test
+  void renewalsAreSummedUp() {
+    for (int i = 0; i < 5; i++) {
+      log.onGrant(ENTRY, HOLD, GrantOutcome.ACCEPTED, MS, MS);
+    }
+    log.tick(1_000 * MS);
+
+    assertThat(lines, hasSize(2));
+    assertThat(lines.get(1), containsString("outcomes={ACCEPTED=4} dropped_lines=0"));
+  }
+
+  @Test
+  void linesBeyondTheBoundAreCounted() {
+    for (int i = 0; i < OwnershipLog.LINES_PER_SECOND + 3; i++) {
+      log.onLease(true, 0);
+    }
+    log.tick(1_000 * MS);
+
+    assertThat(lines, hasSize(OwnershipLog.LINES_PER_SECOND + 1));
+    assertThat(lines.get(lines.size() - 1), containsString("dropped_lines=3"));
+  }
+}
