Keep the keys of a target that restarts at its address

Cause: RangeCoordinator took the entry of another life of an owner's id for proof that nobody holds its keys, and gave them on at once. A restarted target answers at the same id and address before its entry is known, and takes the renewals that are meant for its former life; so it held the keys for up to the hold of the last renewal beside their next owner. What was in flight, unanswered or inherited was not looked at either. The class of fault: the end of a lease's holder is inferred from a name that another process bears by now. Evidence: RangeWorld refused grants to any but the announced life, so that no property could find this. Change: only a release, or the lapse of all grants, frees keys. When another life of the owner's id answers at the owner's address, that process is the only one that can hold the keys, and it gets them at once under a higher fence. A restart at another address waits for the lapse. Ruled out: taking a life with an earlier start as outdated; clocks may step back across a restart.

--- a/core/src/main/java/org/cowslipmoor/core/range/Holding.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/Holding.java
@@ -62,6 +62,16 @@
     return part;
   }
 
+  /** Takes over until when the owner of the former entry may hold the keys. */
+  void inheritFrom(Holding former) {
+    inheritedUntil = later(later(former.heldUntil, former.unsettledUntil), former.inheritedUntil);
+  }
+
+  /** Tells whether an order to the owner has no outcome yet. */
+  boolean isInFlight() {
+    return isGrantInFlight || isReleaseInFlight;
+  }
+
   /** Returns the entry as it will be once the keys have reached their destination. */
   RangeEntry placed() {
     DiscoveredTarget to = destination;
@@ -70,13 +80,17 @@
 
   /** Tells whether the owner, as far as it still runs, surely does not hold the keys any more. */
   boolean isFree(long now) {
-    if (isGrantInFlight || isReleaseInFlight) {
+    if (isInFlight()) {
       return false;
     }
     boolean settled = now - unsettledUntil >= 0 && now - inheritedUntil >= 0;
     return settled && (isReleased || now - heldUntil >= 0);
   }
 
+  static long later(long a, long b) {
+    return a - b >= 0 ? a : b;
+  }
+
   /** Describes the decision that {@code next} takes the place of this holding's entry. */
   RangeListener.Reassignment reassigned(RangeEntry next, long now) {
     RangeListener.Reason reason =
--- a/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.discovery.TargetDirectory;
+import org.cowslipmoor.core.discovery.TargetLife;
 import org.cowslipmoor.core.fleet.FleetState;
 import org.jspecify.annotations.Nullable;
 
@@ -20,8 +21,10 @@
  *
  * <p>A new owner is written to the store before it is granted the keys, and only once the former
  * one surely does not hold them: it has released them and no unanswered grant can still be carried
- * out, or all its grants have lapsed, or it runs no more. A tenure begins by raising all fences, so
- * that grants of the former coordinator that are carried out late are refused by the targets.
+ * out, or all its grants have lapsed. That a target has ended is never inferred from what is
+ * announced: the next life of its id may have accepted grants that were meant for the former one.
+ * The keys stay at that address then, under a higher fence. A tenure begins by raising all fences,
+ * so that grants of the former coordinator that are carried out late are refused by the targets.
  */
 public final class RangeCoordinator {
   /** Added to the last fence when a target knows a higher one than the store. */
@@ -114,12 +117,12 @@
         h.inheritedUntil = now;
         h.isAccepted = true;
         h.acceptedAt = now;
-        h.heldUntil = later(h.heldUntil, lapse);
+        h.heldUntil = Holding.later(h.heldUntil, lapse);
         h.nextGrantAt = now + timing.renewal();
       }
       case UNKNOWN -> {
-        h.unsettledUntil = later(h.unsettledUntil, lapse);
-        h.heldUntil = later(h.heldUntil, lapse);
+        h.unsettledUntil = Holding.later(h.unsettledUntil, lapse);
+        h.heldUntil = Holding.later(h.heldUntil, lapse);
         h.nextGrantAt = now + timing.releaseRetry();
       }
       case FENCED -> {
@@ -180,7 +183,7 @@
       long hold,
       TargetDirectory directory,
       ImmutableList.Builder<RangeAction> actions) {
-    if (!h.isWritten || h.isGrantInFlight || h.isReleaseInFlight) {
+    if (!h.isWritten || h.isInFlight()) {
       return;
     }
     boolean known = directory.find(h.entry.owner()).isPresent();
@@ -295,22 +298,31 @@
 
   private void reassignFree(long now, RangeInputs inputs) {
     for (Holding h : List.copyOf(holdings)) {
-      TargetDirectory directory = inputs.directory();
-      if (!isLeaving(now, h, directory) || !(h.isFree(now) || hasRestarted(h, directory))) {
-        continue;
-      }
-      Optional<DiscoveredTarget> next = destination(h, inputs);
-      if (next.isEmpty()) {
-        continue;
+      if (h.isFree(now)) {
+        if (isLeaving(now, h, inputs.directory())) {
+          destination(h, inputs).ifPresent(next -> reassign(now, h, next, h.handover));
+        }
+      } else if (!h.isInFlight()) {
+        // Only the process at the owner's address can hold the keys, and it is their next owner.
+        successor(h, inputs.directory())
+            .ifPresent(next -> reassign(now, h, next, null).inheritFrom(h));
       }
-      lastFence++;
-      RangeEntry e = h.entry.ownedBy(next.get(), lastFence, h.handover);
-      listener.onReassigned(h.reassigned(e, now));
-      holdings.set(holdings.indexOf(h), new Holding(e, now));
-      mustWrite = true;
     }
   }
 
+  private Holding reassign(long now, Holding h, DiscoveredTarget owner, @Nullable String handover) {
+    lastFence++;
+    Holding next = new Holding(h.entry.ownedBy(owner, lastFence, handover), now);
+    listener.onReassigned(h.reassigned(next.entry, now));
+    replace(h, next);
+    return next;
+  }
+
+  private void replace(Holding h, Holding next) {
+    holdings.set(holdings.indexOf(h), next);
+    mustWrite = true;
+  }
+
   private Optional<DiscoveredTarget> destination(Holding h, RangeInputs inputs) {
     DiscoveredTarget wanted = h.destination;
     if (wanted != null && inputs.directory().isUsable(wanted.life())) {
@@ -333,18 +345,19 @@
         new RangePlanner(targets, load(service, inputs)).newOwner(h.entry.range(), others));
   }
 
-  /** Tells whether the owner's id runs another life, so that the owner itself has ended. */
-  private static boolean hasRestarted(Holding h, TargetDirectory directory) {
-    DiscoveredTarget now = directory.all().get(h.entry.owner().id());
-    return now != null && now.life().startedAt() > h.entry.owner().startedAt();
+  /** Returns the other life of the owner's id that answers at the owner's address, if usable. */
+  private static Optional<DiscoveredTarget> successor(Holding h, TargetDirectory directory) {
+    TargetLife owner = h.entry.owner();
+    return Optional.ofNullable(directory.all().get(owner.id()))
+        .filter(t -> !t.life().equals(owner) && t.address().equals(h.entry.address()))
+        .filter(t -> directory.isUsable(t.life()) && t.service().equals(h.entry.service()));
   }
 
   private void raiseFence(long now, Holding h) {
     lastFence += FENCE_JUMP;
     Holding raised = new Holding(h.entry.withFence(lastFence), now);
-    raised.inheritedUntil = later(later(h.heldUntil, h.unsettledUntil), h.inheritedUntil);
-    holdings.set(holdings.indexOf(h), raised);
-    mustWrite = true;
+    raised.inheritFrom(h);
+    replace(h, raised);
   }
 
   private void write(ImmutableList.Builder<RangeAction> actions) {
@@ -389,8 +402,4 @@
   private static ServiceLoad load(String service, RangeInputs inputs) {
     return inputs.loads().apply(service);
   }
-
-  private static long later(long a, long b) {
-    return a - b >= 0 ? a : b;
-  }
 }
--- a/core/src/main/java/org/cowslipmoor/core/range/RangeListener.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/RangeListener.java
@@ -9,13 +9,13 @@
   /** Takes the decision that an entry's keys get another owner. */
   void onReassigned(Reassignment reassignment);
 
-  /** Why the former owner surely does not hold the keys any more. */
+  /** Why the keys may get another owner. */
   enum Reason {
-    /** It has released them. */
+    /** The former owner has released them. */
     RELEASED,
-    /** All its grants have lapsed. */
+    /** All grants to the former owner have lapsed. */
     LAPSED,
-    /** Its id runs another life. */
+    /** The process at its address is another life of its id, and keeps the keys. */
     RESTARTED
   }
 
--- a/core/src/test/java/org/cowslipmoor/core/range/RangeOwnershipProperties.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/RangeOwnershipProperties.java
@@ -73,6 +73,25 @@
     assertThat(world.servedShare(), is(1.0));
   }
 
+  /** A target that restarts answers at its former address before its new entry is known. */
+  @Property(tries = 60, seed = "20261204")
+  void keysOfAnUnnoticedRestartKeepOneOwner(@ForAll long seed) {
+    RangeWorld world = new RangeWorld(seed, 5, 0, 1);
+    SplittableRandom random = new SplittableRandom(seed);
+    world.run(3_000 * RangeWorld.MS);
+    world.load = rush(random);
+    world.run(4_000 * RangeWorld.MS);
+    for (int i = 0; i < 8; i++) {
+      world.load = rush(random);
+      world.restartUnnoticed("t" + random.nextInt(5), random.nextLong(2_500) * RangeWorld.MS);
+      world.run(random.nextLong(3_000) * RangeWorld.MS + RangeWorld.MS);
+    }
+    world.run(15_000 * RangeWorld.MS);
+
+    assertThat(world.violations, is(0));
+    assertThat(world.servedShare(), is(1.0));
+  }
+
   /** The check itself finds targets that hold keys for longer than they were granted. */
   @Property(tries = 1, seed = "20261204")
   void targetsThatHoldTooLongAreFound() {
--- a/core/src/test/java/org/cowslipmoor/core/range/RangeWorld.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/RangeWorld.java
@@ -107,6 +107,21 @@
     addTarget(id);
   }
 
+  /** The target starts again under its id and address; its former entry stays for a while. */
+  void restartUnnoticed(String id, long delay) {
+    FakeTarget former = targets.get(id);
+    FakeTarget t = new FakeTarget(former.announced);
+    t.announcing = former.announcing;
+    targets.put(id, t);
+    DiscoveredTarget entry = announced(new TargetLife(id, nextLife++), false);
+    after(
+        delay,
+        () -> {
+          t.announced = entry;
+          t.announcing = true;
+        });
+  }
+
   /** The target's entry vanishes although it goes on. */
   void vanish(String id) {
     targets.get(id).announcing = false;
@@ -229,9 +244,9 @@
         });
   }
 
+  /** Returns the process that answers at the owner's address; it may run another life. */
   private FakeTarget target(RangeEntry entry) {
-    FakeTarget t = targets.get(entry.owner().id());
-    return t != null && t.announced.life().equals(entry.owner()) ? t : null;
+    return targets.get(entry.owner().id());
   }
 
   private void check() {
