Count what a tenure inherits from the end of the former lease

Cause: a tenure takes its owners to hold their keys, by grants of the former coordinator, for the long hold from its own begin. The store may take a lease away early, or turn one host away and serve another: the former coordinator then trusts its lease, and grants with the long hold, for up to a lease's duration after its successor has begun. Evidence: keysGrantedByAFormerCoordinatorUntilItsLeaseEndsKeepOneOwner: the keys of an owner that the successor can't reach went to another target after 10.45 s before, not before 11.5 s after. Change: the wait begins once the former lease is over for its holder too.

--- a/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
@@ -61,7 +61,7 @@
     for (RangeEntry e : merged(stored)) {
       lastFence++;
       Holding h = new Holding(e.withFence(lastFence), now);
-      h.inheritedUntil = timing.lapse(now, timing.longHold());
+      h.inheritedUntil = timing.lapse(now + timing.overlap(), timing.longHold());
       holdings.add(h);
       mustWrite = true;
     }
--- a/core/src/main/java/org/cowslipmoor/core/range/RangeTiming.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/RangeTiming.java
@@ -11,9 +11,17 @@
  * @param releaseRetry time between two releases of the same keys
  * @param settling time for which the set of targets must be unchanged before keys are first given
  * @param rebalance time between looks for a better balance
+ * @param overlap time for which a former coordinator, whose lease the store ended early, may go on
+ *     granting after its successor has begun: the duration of the lease
  */
 public record RangeTiming(
-    long hold, long longHold, long renewal, long releaseRetry, long settling, long rebalance) {
+    long hold,
+    long longHold,
+    long renewal,
+    long releaseRetry,
+    long settling,
+    long rebalance,
+    long overlap) {
   private static final long MS = 1_000_000L;
 
   /** Longest rate error of a target's clock, with a reserve; the platform states 2 in 100. */
@@ -32,8 +40,9 @@
    * Returns the durations in use.
    *
    * @param longestHoldMillis longest hold in milliseconds that the targets allow
+   * @param leaseMillis duration of the coordinator's lease in milliseconds
    */
-  public static RangeTiming standard(long longestHoldMillis) {
+  public static RangeTiming standard(long longestHoldMillis, long leaseMillis) {
     long longest = longestHoldMillis * MS;
     return new RangeTiming(
         Math.min(3_000 * MS, longest),
@@ -41,7 +50,8 @@
         Math.min(800 * MS, longest / 4),
         400 * MS,
         700 * MS,
-        500 * MS);
+        500 * MS,
+        leaseMillis * MS);
   }
 
   /** Returns when a grant that arrived at {@code arrival} at the latest has surely lapsed. */
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -122,7 +122,7 @@
             store,
             orders,
             Leadership.create(settings.leaseMillis(), random),
-            RangeTiming.standard(settings.longestHoldMillis()),
+            RangeTiming.standard(settings.longestHoldMillis(), settings.leaseMillis()),
             () -> view,
             this::load);
     fleet =
