Do not count a renewal that was sent before a suspension

Cause: the steady clock does not count a suspension. Leadership ends its trust in the lease when it notices one, but the answer to a renewal or claim that was sent before was counted from its sending all the same, and made the host lead for up to 1.35 s more, long after its lease had ended in the store. Evidence: LeadershipTest, two new tests, both failed before (leads: true) and pass after. Change: a suspension outdates the call in flight; the next one counts.

--- a/core/src/main/java/org/cowslipmoor/core/range/Leadership.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/Leadership.java
@@ -32,6 +32,7 @@
   private boolean vacant;
   private boolean resigned;
   private boolean callInFlight;
+  private boolean isCallOutdated;
   private @Nullable Lease lease;
   private long claimAt;
   private long nextCallAt;
@@ -93,16 +94,21 @@
         return Optional.empty();
       }
       nextCallAt = now + ttl / RENEWALS;
-      callInFlight = true;
+      beginCall();
       return Optional.of(new Action.Renew(held));
     }
     if (!vacant || now - claimAt < 0) {
       return Optional.empty();
     }
-    callInFlight = true;
+    beginCall();
     return Optional.of(new Action.Claim());
   }
 
+  private void beginCall() {
+    callInFlight = true;
+    isCallOutdated = false;
+  }
+
   /** Takes a claim's success; {@code sentAt} is when its first call was sent. */
   public void onClaimed(long sentAt, Lease newLease) {
     callInFlight = false;
@@ -141,6 +147,9 @@
   public void onSuspended(long now) {
     until = now;
     nextCallAt = now;
+    // The clock has not counted the suspension, so the call's lease may have run out before its
+    // answer is read.
+    isCallOutdated = callInFlight;
   }
 
   /** Gives the coordination up for good; returns the call that ends the lease, if one is held. */
@@ -172,6 +181,9 @@
   }
 
   private void renew(long sentAt) {
+    if (isCallOutdated) {
+      return;
+    }
     renewedAt = sentAt;
     until = sentAt + (long) (ttl * (1 - MARGIN));
     nextCallAt = sentAt + ttl / RENEWALS;
--- a/core/src/test/java/org/cowslipmoor/core/range/LeadershipTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/LeadershipTest.java
@@ -59,6 +59,27 @@
     assertThat(leadership.leads(101 * MS), is(true));
   }
 
+  @Test
+  void renewalAnsweredAfterSuspensionDoesNotProlongTheLease() {
+    leadership.onClaimed(0, LEASE);
+    assertThat(leadership.tick(400 * MS).isPresent(), is(true));
+    leadership.onSuspended(410 * MS);
+    leadership.onRenewed(400 * MS);
+    assertThat(leadership.leads(411 * MS), is(false));
+    assertThat(leadership.tick(411 * MS).isPresent(), is(true));
+    leadership.onRenewed(411 * MS);
+    assertThat(leadership.leads(412 * MS), is(true));
+  }
+
+  @Test
+  void claimAnsweredAfterSuspensionGivesNoLeadership() {
+    leadership.onVacancy(0, true);
+    assertThat(firstAction(0, 400 * MS).isPresent(), is(true));
+    leadership.onSuspended(410 * MS);
+    leadership.onClaimed(300 * MS, LEASE);
+    assertThat(leadership.leads(411 * MS), is(false));
+  }
+
   @Test
   void resignedHostNeverClaimsAgain() {
     leadership.onClaimed(0, LEASE);
