Look at the lease right before an order is sent

Cause: a coordinator looked at its lease once a tick. Between that and the send lie the tick's other orders, a connect of up to 500 ms and the event loop. Class of fault: time of check, time of use. Evidence: the model grants a key twice when a long grant is sent 1.5 s after its decision (448 ms beyond the successor's wait). Change: grants and releases are asked for once more right before they are written, with a look for a suspension. A listener now tells by its answer that a request is no longer wanted; on a kept connection it had no exchange to cancel yet.

--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/Coordination.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/Coordination.java
@@ -222,7 +222,7 @@
     long decidedAt = System.nanoTime();
     long leaseAge = leadership.sinceRenewal(decidedAt);
     orders
-        .grant(grant.entry(), grant.holdNanos())
+        .grant(grant.entry(), grant.holdNanos(), () -> mayOrder(c))
         .thenAccept(
             outcome -> {
               long now = System.nanoTime();
@@ -231,11 +231,18 @@
             });
   }
 
+  /** Tells whether a coordinator's orders may be sent now, whenever they were decided. */
+  private boolean mayOrder(RangeCoordinator c) {
+    long now = System.nanoTime();
+    checkSuspension(now);
+    return coordinator == c && leadership.leads(now);
+  }
+
   private void release(RangeCoordinator c, RangeEntry entry) {
     onMoving.run();
     long decidedAt = System.nanoTime();
     orders
-        .release(entry)
+        .release(entry, () -> mayOrder(c))
         .thenAccept(
             released -> {
               long now = System.nanoTime();
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/TargetOrders.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/TargetOrders.java
@@ -1,6 +1,7 @@
 package org.cowslipmoor.daemon.coordination;
 
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import org.cowslipmoor.core.range.GrantOutcome;
 import org.cowslipmoor.core.range.RangeEntry;
 import org.jspecify.annotations.Nullable;
@@ -11,11 +12,18 @@
   /**
    * Grants the entry's keys to its owner for a time that counts from the grant's arrival. When the
    * outcome is unknown, the connection has been closed, so that the grant can't arrive any more.
+   *
+   * @param isAllowed is asked right before the grant is written, which may be long after this call
    */
-  CompletableFuture<GrantOutcome> grant(RangeEntry entry, long holdNanos);
+  CompletableFuture<GrantOutcome> grant(
+      RangeEntry entry, long holdNanos, BooleanSupplier isAllowed);
 
-  /** Takes the entry's keys back; completes when the work on them has ended. */
-  CompletableFuture<Released> release(RangeEntry entry);
+  /**
+   * Takes the entry's keys back; completes when the work on them has ended.
+   *
+   * @param isAllowed is asked right before the release is written
+   */
+  CompletableFuture<Released> release(RangeEntry entry, BooleanSupplier isAllowed);
 
   /**
    * The outcome of a release.
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Attempt.java
@@ -121,12 +121,10 @@
   }
 
   @Override
-  public void onSending() {
+  public boolean onSending() {
     // The end of the caller's connection is known before Armeria has told the request of it.
-    if (owner.endIfCallerLeft()) {
-      return;
-    }
-    sent = true;
+    sent = !owner.endIfCallerLeft();
+    return sent;
   }
 
   @Override
--- a/daemon/src/main/java/org/cowslipmoor/daemon/http/Exchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/Exchange.java
@@ -81,8 +81,8 @@
 
   /** Begins to write to a connection; returns whether the request is still wanted. */
   boolean begin(HttpConnection newConnection) {
-    if (!over) {
-      listener.onSending();
+    if (!over && !listener.onSending()) {
+      finish();
     }
     if (over) {
       return false;
--- a/daemon/src/main/java/org/cowslipmoor/daemon/http/ExchangeListener.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/ExchangeListener.java
@@ -7,10 +7,14 @@
 public interface ExchangeListener {
 
   /**
-   * Is told that the request is about to be written to a connection; it is not written when the
-   * listener cancels the exchange here.
+   * Is told that the request is about to be written to a connection.
+   *
+   * @return whether it is still wanted; one that is not is never written, and the listener is not
+   *     called any more
    */
-  default void onSending() {}
+  default boolean onSending() {
+    return true;
+  }
 
   /**
    * Takes the answer's head.
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/GatewayTest.java
@@ -36,6 +36,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.discovery.TargetDirectory;
 import org.cowslipmoor.core.range.GrantOutcome;
@@ -365,12 +366,13 @@
   /** Orders that no target gets. */
   private static final class NoOrders implements TargetOrders {
     @Override
-    public CompletableFuture<GrantOutcome> grant(RangeEntry entry, long holdNanos) {
+    public CompletableFuture<GrantOutcome> grant(
+        RangeEntry entry, long holdNanos, BooleanSupplier isAllowed) {
       return CompletableFuture.completedFuture(GrantOutcome.NOT_SENT);
     }
 
     @Override
-    public CompletableFuture<Released> release(RangeEntry entry) {
+    public CompletableFuture<Released> release(RangeEntry entry, BooleanSupplier isAllowed) {
       return CompletableFuture.completedFuture(new Released(false, null));
     }
   }
@@ -474,8 +476,9 @@
   private record Listener(Runnable beforeSending, CompletableFuture<ExchangeFailure> over)
       implements ExchangeListener {
     @Override
-    public void onSending() {
+    public boolean onSending() {
       beforeSending.run();
+      return true;
     }
 
     @Override
