Keep a former tenure's long hold in mind after a short renewal

Cause: when an owner accepted the first grant of a new tenure, the wait for the former coordinator's grants ended, and its keys counted as free once the new grant of 3 s had lapsed. Within one tenure the longer of both was kept; across tenures it was not. Evidence: shortRenewalDoesNotEndTheFormerTenuresLongHold: keys given on after 3.3 s before, not before 11.5 s after. Cost: keys of a target that is lost within 11.5 s after a change of coordinator, and can't be asked to release them, wait that long.

--- a/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
@@ -113,11 +113,12 @@
     long lapse = timing.lapse(now, h.holdInFlight);
     switch (outcome) {
       case ACCEPTED -> {
-        // Grants under lower fences are refused by the target from now on.
+        // Grants under lower fences are refused by the target from now on, but one that it took
+        // earlier may last longer than this one; only a release ends it.
+        h.heldUntil = Holding.later(Holding.later(h.heldUntil, h.inheritedUntil), lapse);
         h.inheritedUntil = now;
         h.isAccepted = true;
         h.acceptedAt = now;
-        h.heldUntil = Holding.later(h.heldUntil, lapse);
         h.nextGrantAt = now + timing.renewal();
       }
       case UNKNOWN -> {
--- a/core/src/test/java/org/cowslipmoor/core/range/RangeCoordinatorTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/RangeCoordinatorTest.java
@@ -5,6 +5,7 @@
 
 import com.google.common.collect.ImmutableSet;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongFunction;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.discovery.TargetDirectory;
@@ -33,6 +34,21 @@
     assertThat(grantedOnAt, greaterThanOrEqualTo(LEASE + timing.longHold()));
   }
 
+  /**
+   * A target may go on with an earlier, longer grant after it has taken a shorter one under a higher
+   * fence.
+   */
+  @Test
+  void shortRenewalDoesNotEndTheFormerTenuresLongHold() {
+    AtomicBoolean accepted = new AtomicBoolean();
+
+    long grantedOnAt =
+        firstGrantToOther(
+            unused -> accepted.getAndSet(true) ? GrantOutcome.NOT_SENT : GrantOutcome.ACCEPTED);
+
+    assertThat(grantedOnAt, greaterThanOrEqualTo(LEASE + timing.longHold()));
+  }
+
   /**
    * Runs a tenure that begins at 0 with all keys at {@link #OWNER}, and returns when another target
    * is granted them.
