End an answer that is not passed on before its body does

Seen: when a target turned a request away, or failed one that was to be sent again, and the body of that answer did not end, the caller waited until its deadline and got no second attempt, although the head had told all.

Cause: an attempt whose answer is discarded ended with the answer's end only, and the head had ended its patience.

Evidence: GatewayTest, before (deadline 3 s): answerWithoutEndThatIsNotPassedOnDoesNotDelayTheNextAttempt, 503 and 500: Expected "right" but was "...DEADLINE_NOT_MET..." and "...DEADLINE_PASSED..." refusalWithoutEndIsToldAsNotRun, a body that stalls and one without end: Expected: is "1011" but was "1004", both After: 22 of 22, these in 0.4 to 1.5 s. The third row (an interim head, then bytes without a line) passed before as well.

Why it works: such an answer is read for 64 KiB or 100 ms at most, which keeps the connection of an ordinary one; then the connection is reset and the attempt ends as it would have at the answer's end, its place in the books included.

--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Attempt.java
@@ -34,6 +34,12 @@
 
   private static final long TURNED_AWAY_RETRY = 150 * MS;
 
+  /** Most bytes of an answer that is not passed on which are read to keep its connection. */
+  private static final long MOST_DISCARDED_BYTES = 65_536;
+
+  /** Longest time that such an answer is read. */
+  private static final long LONGEST_DISCARDING = 100 * MS;
+
   private final GatewayExchange owner;
   private final Gateway gateway;
   private final DiscoveredTarget target;
@@ -47,6 +53,7 @@
   private boolean notRun;
   private boolean misdirected;
   private boolean discarding;
+  private long discarded;
   private boolean over;
   private long headAt;
   private String outcome = "no answer yet";
@@ -70,12 +77,7 @@
         Math.max(
             (long) (PATIENCE * expectedNanos), (long) (OBJECTIVE_PART * owner.objectiveNanos()));
     if (owner.hasSpareAttempt()) {
-      patience =
-          owner
-              .ctx()
-              .eventLoop()
-              .withoutContext()
-              .schedule(this::onPatienceOver, limit, TimeUnit.NANOSECONDS);
+      patience = schedule(this::onPatienceOver, limit);
     }
   }
 
@@ -143,13 +145,13 @@
     boolean failed = head.status().code() >= SERVER_ERROR;
     if (notRun) {
       outcome = "turned away with " + head.status().code();
-      discarding = true;
+      discard();
       return true;
     }
     if (failed) {
       outcome = "failed with " + head.status().code();
       if (owner.mayRetry(this, headAt)) {
-        discarding = true;
+        discard();
         return true;
       }
     }
@@ -163,6 +165,12 @@
     if (relay != null && !over) {
       relay.data(data);
     }
+    if (discarding) {
+      discarded += data.readableBytes();
+      if (discarded > MOST_DISCARDED_BYTES) {
+        endDiscarding();
+      }
+    }
   }
 
   @Override
@@ -171,6 +179,7 @@
       return;
     }
     over = true;
+    stopPatience();
     AnswerRelay r = relay;
     long now = System.nanoTime();
     ReportedLoad load = answer == null ? null : answer.load();
@@ -219,6 +228,19 @@
     owner.onAttemptFailed(this);
   }
 
+  private void discard() {
+    discarding = true;
+    patience = schedule(this::endDiscarding, LONGEST_DISCARDING);
+  }
+
+  /** Takes an answer that is not passed on for complete, and closes its connection. */
+  private void endDiscarding() {
+    if (!over) {
+      exchange().cancel();
+      onEnd();
+    }
+  }
+
   private void onPatienceOver() {
     if (over || relay != null || discarding) {
       return;
@@ -241,6 +263,10 @@
     }
   }
 
+  private ScheduledFuture<?> schedule(Runnable task, long nanos) {
+    return owner.ctx().eventLoop().withoutContext().schedule(task, nanos, TimeUnit.NANOSECONDS);
+  }
+
   private void stopPatience() {
     if (patience != null) {
       patience.cancel(false);
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/GatewayTest.java
@@ -1,5 +1,6 @@
 package org.cowslipmoor.daemon.gateway;
 
+import static org.cowslipmoor.daemon.gateway.ScriptedTarget.REPEATED;
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.greaterThan;
@@ -36,6 +37,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.discovery.TargetDirectory;
@@ -57,6 +59,8 @@
 import org.cowslipmoor.daemon.http.HttpConnections;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** A host over loopback in front of scripted targets. */
 final class GatewayTest {
@@ -457,6 +461,34 @@
     assertThat(t.requests, hasSize(1));
   }
 
+  @ParameterizedTest
+  @ValueSource(strings = {"503 Full\r\nnot-run: 1", "500 Failed", "102 Processing"})
+  void answerWithoutEndThatIsNotPassedOnDoesNotDelayTheNextAttempt(String status) throws Exception {
+    AtomicInteger answers = new AtomicInteger();
+    ScriptedTarget.Script script =
+        id ->
+            answers.incrementAndGet() == 1
+                ? "HTTP/1.1 " + status + "\r\nrequest-id: r-1\r\n\r\n" + REPEATED + "x"
+                : ScriptedTarget.answer("200 OK", id, "right");
+    ScriptedTarget t = target("t", script);
+    ScriptedTarget u = target("u", script);
+    WebClient client = start(view("sheets", RangeTable.empty()));
+
+    assertThat(send(client, HttpMethod.GET, "/safe/a", "").contentUtf8(), is("right"));
+    CompletableFuture.anyOf(t.endlessBytes, u.endlessBytes).get(5, TimeUnit.SECONDS);
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"content-length: 5\r\n\r\n", "\r\n" + REPEATED + "x"})
+  void refusalWithoutEndIsToldAsNotRun(String rest) throws Exception {
+    target("t", id -> "HTTP/1.1 503 Full\r\nnot-run: 1\r\nrequest-id: r-1\r\n" + rest);
+    WebClient client = start(view("sheets", RangeTable.empty()));
+
+    AggregatedHttpResponse response = send(client, HttpMethod.POST, "/once/a", "body");
+
+    assertThat(response.headers().get("cowslipmoor-result"), is("1011"));
+  }
+
   private static boolean isListening(int port) {
     try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
       return socket.isConnected();
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/ScriptedTarget.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/ScriptedTarget.java
@@ -3,12 +3,14 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.OutputStream;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -20,6 +22,14 @@
 final class ScriptedTarget implements AutoCloseable {
   final List<String> requests = new CopyOnWriteArrayList<>();
   final AtomicInteger connections = new AtomicInteger();
+
+  /** The bytes of the first answer without end that were written until the host closed. */
+  final CompletableFuture<Long> endlessBytes = new CompletableFuture<>();
+
+  /** Stands in an answer before bytes that are repeated until the host closes the connection. */
+  static final String REPEATED = "\uffff";
+
+  private static final int BLOCK_BYTES = 8_192;
   private final String id;
   private final ServerSocket server;
   private final Script script;
@@ -100,11 +110,29 @@
         if (answer == null) {
           return;
         }
-        socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
-        socket.getOutputStream().flush();
+        int repeat = answer.indexOf(REPEATED);
+        String begin = repeat < 0 ? answer : answer.substring(0, repeat);
+        socket.getOutputStream().write(begin.getBytes(StandardCharsets.US_ASCII));
+        if (repeat >= 0) {
+          repeat(socket.getOutputStream(), answer.substring(repeat + 1));
+          return;
+        }
       }
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
   }
+
+  private void repeat(OutputStream out, String piece) {
+    byte[] block = piece.repeat(BLOCK_BYTES / piece.length()).getBytes(StandardCharsets.US_ASCII);
+    long written = 0;
+    try {
+      while (true) {
+        out.write(block);
+        written += block.length;
+      }
+    } catch (IOException e) {
+      endlessBytes.complete(written);
+    }
+  }
 }
