Reset a connection on which bytes follow an answer

Seen: when a target added a few bytes to a whole answer, the next request went out on the same connection and failed, unsafe ones with a 502 that a caller does not repeat.

Cause: the decoder waits for a whole line, and skips blank ones, before it tells of anything. So bytes without a line end after an answer stayed in it, unseen, as the begin of the next answer, and blank lines went unnoticed.

Evidence: GatewayTest.connectionWithFewBytesAfterAnAnswerIsNotUsedAgain. Before, with "x": Expected "whole" but was "...TARGET_FAILED... the target did not answer: MALFORMED"; with a blank line: Expected connections <2> but was <1>.

Why it works: the decoder asks the connection whether any answer is waited for before it takes bytes; if none is, the connection is reset and not kept. The reset, in place of an orderly close, also ends what is still on its way after other bytes that are no answer. As the decoder now knows the request, it tells answers to HEAD itself (HttpConnectionTest.answerToHeadEndsWithItsHead), which the codec did before.

--- /dev/null
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/AnswerDecoder.java
@@ -0,0 +1,36 @@
+package org.cowslipmoor.daemon.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.util.List;
+
+/** Decodes the answers on a connection, as far as the connection waits for one. */
+final class AnswerDecoder extends HttpResponseDecoder {
+  private static final int MAX_HEAD_BYTES = 65_536;
+
+  private final HttpConnection connection;
+
+  AnswerDecoder(HttpConnection connection) {
+    super(new HttpDecoderConfig().setMaxHeaderSize(MAX_HEAD_BYTES));
+    this.connection = connection;
+  }
+
+  @Override
+  protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+    // What was decoded before has reached the connection by now.
+    if (!connection.takesBytes()) {
+      in.skipBytes(in.readableBytes());
+      connection.onUselessBytes();
+      return;
+    }
+    super.decode(ctx, in, out);
+  }
+
+  @Override
+  protected boolean isContentAlwaysEmpty(HttpMessage message) {
+    return connection.asksForHeadOnly() || super.isContentAlwaysEmpty(message);
+  }
+}
--- a/daemon/src/main/java/org/cowslipmoor/daemon/http/Exchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/Exchange.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.ArrayDeque;
@@ -75,6 +76,10 @@
     return bodyEnded;
   }
 
+  boolean asksForHeadOnly() {
+    return head.method().equals(HttpMethod.HEAD);
+  }
+
   ExchangeListener listener() {
     return listener;
   }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnection.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnection.java
@@ -6,8 +6,10 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -55,6 +57,11 @@
     return address;
   }
 
+  /** Makes the connection take what its channel reads. */
+  void addTo(ChannelPipeline pipeline) {
+    pipeline.addLast(new AnswerDecoder(this), new HttpRequestEncoder(), this);
+  }
+
   void start(Exchange exchange) {
     current = exchange;
     headSeen = false;
@@ -85,10 +92,30 @@
    * network is parted, must not arrive later.
    */
   void reset() {
-    channel.config().setOption(ChannelOption.SO_LINGER, 0);
+    if (channel.isOpen()) {
+      channel.config().setOption(ChannelOption.SO_LINGER, 0);
+    }
     close();
   }
 
+  /** Tells whether bytes that come now can belong to an answer that is waited for. */
+  boolean takesBytes() {
+    return current != null;
+  }
+
+  /** Ends the connection, on which bytes came that belong to no answer that is waited for. */
+  void onUselessBytes() {
+    if (reusable || current != null) {
+      Logger.warn("connection to {} delivered bytes that answer no request; closing it", address);
+    }
+    fail(ExchangeFailure.MALFORMED);
+    reset();
+  }
+
+  boolean asksForHeadOnly() {
+    return current != null && current.asksForHeadOnly();
+  }
+
   /** Tells whether the connection may still be used, having been idle since its last exchange. */
   boolean isFresh(long now) {
     return reusable && channel.isActive() && now - idleSince < idleLimitNanos;
@@ -120,7 +147,7 @@
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     Logger.debug("connection to {} failed: {}", address, cause.toString());
     fail(headSeen ? ExchangeFailure.ANSWER_CUT : ExchangeFailure.NO_ANSWER);
-    close();
+    reset();
   }
 
   @Override
@@ -135,9 +162,7 @@
   private void onHead(HttpResponse head) {
     Exchange exchange = current;
     if (exchange == null || !head.decoderResult().isSuccess()) {
-      Logger.warn("connection to {} delivered bytes that answer no request; closing it", address);
-      fail(ExchangeFailure.MALFORMED);
-      close();
+      onUselessBytes();
       return;
     }
     if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
@@ -166,8 +191,7 @@
       return;
     }
     if (!content.decoderResult().isSuccess()) {
-      fail(ExchangeFailure.MALFORMED);
-      close();
+      onUselessBytes();
       return;
     }
     boolean last = content instanceof LastHttpContent;
--- a/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnections.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnections.java
@@ -9,8 +9,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequest;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -24,8 +22,6 @@
 
 /** Keeps connections to any number of addresses. Confined to one event loop. */
 public final class HttpConnections {
-  private static final int MAX_HEAD_BYTES = 65_536;
-
   /** Seconds without traffic after which a connection is probed, and between probes. */
   private static final int PROBE_SECONDS = 1;
 
@@ -137,12 +133,7 @@
           }
           Channel channel = connecting.channel();
           HttpConnection c = new HttpConnection(address, channel, idleLimitNanos, this::onFree);
-          channel
-              .pipeline()
-              .addLast(
-                  new HttpClientCodec(
-                      new HttpDecoderConfig().setMaxHeaderSize(MAX_HEAD_BYTES), false, false))
-              .addLast(c);
+          c.addTo(channel.pipeline());
           if (System.nanoTime() - startedAt < SLOW_CONNECT_NANOS) {
             begin(c, exchange);
           } else {
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/GatewayTest.java
@@ -461,6 +461,19 @@
     assertThat(t.requests, hasSize(1));
   }
 
+  /** Answers targets that add bytes to an answer: the next request must not be sent after them. */
+  @ParameterizedTest
+  @ValueSource(strings = {"x", "\r\n"})
+  void connectionWithFewBytesAfterAnAnswerIsNotUsedAgain(String more) throws Exception {
+    ScriptedTarget t = target("t", id -> ScriptedTarget.answer("200 OK", id, "whole") + more);
+    WebClient client = start(view("sheets", RangeTable.empty()));
+
+    for (int i = 1; i <= 2; i++) {
+      assertThat(send(client, HttpMethod.POST, "/once/a", "body").contentUtf8(), is("whole"));
+      assertThat(t.connections.get(), is(i));
+    }
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"503 Full\r\nnot-run: 1", "500 Failed", "102 Processing"})
   void answerWithoutEndThatIsNotPassedOnDoesNotDelayTheNextAttempt(String status) throws Exception {
--- /dev/null
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/http/HttpConnectionTest.java
@@ -0,0 +1,64 @@
+package org.cowslipmoor.daemon.http;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** A connection whose reads a test decides. */
+final class HttpConnectionTest {
+  private final EmbeddedChannel channel = new EmbeddedChannel();
+  private final List<String> ends = new ArrayList<>();
+
+  private void start(HttpMethod method) {
+    HttpConnection connection =
+        new HttpConnection("t", channel, TimeUnit.SECONDS.toNanos(1), (c, mayBeReused) -> {});
+    connection.addTo(channel.pipeline());
+    connection.start(
+        new Exchange(new DefaultHttpRequest(HttpVersion.HTTP_1_1, method, "/"), new Ends(ends)));
+  }
+
+  private void read(String bytes) {
+    channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.US_ASCII));
+  }
+
+  @Test
+  void answerToHeadEndsWithItsHead() {
+    start(HttpMethod.HEAD);
+
+    read("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n");
+
+    assertThat(ends, contains("end"));
+  }
+
+  private record Ends(List<String> all) implements ExchangeListener {
+    @Override
+    public boolean onHead(HttpResponse head) {
+      return true;
+    }
+
+    @Override
+    public void onData(ByteBuf data) {}
+
+    @Override
+    public void onEnd() {
+      all.add("end");
+    }
+
+    @Override
+    public void onFailure(ExchangeFailure failure) {
+      all.add(failure.toString());
+    }
+  }
+}
