End an attempt on bytes without end that come before its answer

Seen: a target that sent interim heads, another protocol, blank lines in short reads, or answers to other requests without end held its request until the caller's deadline, while the host read all that came; for answers to others it logged a line each, 144,215 in 3 s.

Cause: these are skipped one by one, and nothing bounded their sum. After an answer 101 the decoder passes bytes on as they are, which nobody took.

Evidence: GatewayTest.bytesWithoutEndInPlaceOfAnAnswerEndTheAttempt, 10 rows.

Why it works: the connection counts what is decoded before the head that it waits for: 128 KiB of heads and blank lines at most, and 1 MiB of answers to others, which are still skipped when they end. An answer 101 is malformed, since the host asks for no other protocol. The attempt then fails at once, as a broken one, and the connection is reset.

--- a/daemon/src/main/java/org/cowslipmoor/daemon/http/AnswerDecoder.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/AnswerDecoder.java
@@ -26,7 +26,9 @@
       connection.onUselessBytes();
       return;
     }
+    int before = in.readableBytes();
     super.decode(ctx, in, out);
+    connection.onDecoded(before - in.readableBytes());
   }
 
   @Override
--- a/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnection.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnection.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -29,12 +30,20 @@
   /** Time by which a connection is given up before the other side would close it. */
   private static final long CLOSE_RACE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
+  /** Most bytes before an answer's head, interim heads and blank lines included. */
+  private static final long MOST_BYTES_BEFORE_HEAD = 131_072;
+
+  /** Most bytes of answers to other requests, apart from their heads, before the answer's head. */
+  private static final long MOST_SKIPPED_BYTES = 1 << 20;
+
   private final String address;
   private final Channel channel;
   private final BiConsumer<HttpConnection, Boolean> whenFree;
   private @Nullable Exchange current;
   private boolean headSeen;
   private boolean skipping;
+  private long bytesBeforeHead;
+  private long skippedBytes;
   private boolean reusable = true;
   private boolean freed;
   private long idleLimitNanos;
@@ -65,6 +74,8 @@
   void start(Exchange exchange) {
     current = exchange;
     headSeen = false;
+    bytesBeforeHead = 0;
+    skippedBytes = 0;
     freed = false;
     if (exchange.begin(this)) {
       channel.flush();
@@ -100,7 +111,18 @@
 
   /** Tells whether bytes that come now can belong to an answer that is waited for. */
   boolean takesBytes() {
-    return current != null;
+    return current != null
+        && bytesBeforeHead <= MOST_BYTES_BEFORE_HEAD
+        && skippedBytes <= MOST_SKIPPED_BYTES;
+  }
+
+  /** Counts bytes that were decoded after what the connection has taken so far. */
+  void onDecoded(int bytes) {
+    if (skipping) {
+      skippedBytes += bytes;
+    } else if (!headSeen) {
+      bytesBeforeHead += bytes;
+    }
   }
 
   /** Ends the connection, on which bytes came that belong to no answer that is waited for. */
@@ -161,7 +183,9 @@
 
   private void onHead(HttpResponse head) {
     Exchange exchange = current;
-    if (exchange == null || !head.decoderResult().isSuccess()) {
+    if (exchange == null
+        || !head.decoderResult().isSuccess()
+        || head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
       onUselessBytes();
       return;
     }
@@ -179,7 +203,9 @@
     } else if (exchange.listener().onHead(head)) {
       headSeen = true;
     } else {
-      Logger.warn("connection to {} delivered an answer to another request", address);
+      if (reusable) {
+        Logger.warn("connection to {} delivered an answer to another request", address);
+      }
       skipping = true;
       reusable = false;
     }
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/GatewayTest.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.startsWith;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -64,6 +65,14 @@
 
 /** A host over loopback in front of scripted targets. */
 final class GatewayTest {
+  private static final String OK = "HTTP/1.1 200 OK\r\nrequest-id: r-1\r\nstamp: s\r\n";
+  private static final String OTHER = "HTTP/1.1 200 OK\r\nrequest-id: other\r\n";
+  private static final String UPGRADE =
+      "HTTP/1.1 101 Switching\r\nupgrade: websocket\r\nconnection: upgrade\r\n\r\n";
+
+  /** More than what the buffers of two sockets hold, less than what they pass in a second. */
+  private static final long BUFFERED_BYTES = 24 << 20;
+
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final List<ScriptedTarget> targets = new ArrayList<>();
@@ -461,6 +470,35 @@
     assertThat(t.requests, hasSize(1));
   }
 
+  private static void assertCut(ScriptedTarget t) throws Exception {
+    assertThat(t.endlessBytes.get(5, TimeUnit.SECONDS), lessThan(BUFFERED_BYTES));
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        REPEATED + "\u0001",
+        REPEATED + "\r\n",
+        REPEATED + "x",
+        REPEATED + "xyz\r\n",
+        OK + "x: " + REPEATED + "y",
+        OK + REPEATED + "x: y\r\n",
+        REPEATED + "HTTP/1.1 102 Processing\r\n\r\n",
+        UPGRADE + REPEATED + "x",
+        OTHER + "\r\n" + REPEATED + "x",
+        REPEATED + OTHER + "content-length: 1\r\n\r\nx"
+      })
+  void bytesWithoutEndInPlaceOfAnAnswerEndTheAttempt(String answer) throws Exception {
+    ScriptedTarget t = target("t", id -> answer);
+    WebClient client = start(view("sheets", RangeTable.empty()));
+
+    // More often than a host may have requests at one target: each must give its place back.
+    for (int i = 0; i < 10; i++) {
+      assertThat(send(client, HttpMethod.POST, "/once/a", "body").status().code(), is(502));
+    }
+    assertCut(t);
+  }
+
   /** Answers targets that add bytes to an answer: the next request must not be sent after them. */
   @ParameterizedTest
   @ValueSource(strings = {"x", "\r\n"})
--- a/daemon/src/test/java/org/cowslipmoor/daemon/http/HttpConnectionTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/http/HttpConnectionTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -42,6 +43,19 @@
     assertThat(ends, contains("end"));
   }
 
+  /** Answers targets that trickle: what one read brings is short enough to be skipped. */
+  @Test
+  void blankLinesWithoutEndEndTheExchange() {
+    start(HttpMethod.GET);
+
+    for (int i = 0; i < 1_000 && channel.isActive(); i++) {
+      read("\r\n".repeat(500));
+    }
+
+    assertThat(ends, contains("MALFORMED"));
+    assertThat(channel.isActive(), is(false));
+  }
+
   private record Ends(List<String> all) implements ExchangeListener {
     @Override
     public boolean onHead(HttpResponse head) {
