Test that bytes without end in and after an answer are cut

These worked before, and are now guarded: bytes of four sorts without end after a whole answer, which counts and whose connection is reset; a chunk's size, extension and end, and trailers, without end, which break the answer off so that it does not look complete; and a body without a length or an end, which is passed on like a large answer: at most 24 MB leave the target (the buffers of the sockets included) when the caller stops reading, the deadline breaks it off without a last chunk, and a caller that leaves ends it at once.

--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/GatewayTest.java
@@ -3,6 +3,7 @@
 import static org.cowslipmoor.daemon.gateway.ScriptedTarget.REPEATED;
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
@@ -31,6 +32,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -61,6 +63,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** A host over loopback in front of scripted targets. */
@@ -69,6 +72,7 @@
   private static final String OTHER = "HTTP/1.1 200 OK\r\nrequest-id: other\r\n";
   private static final String UPGRADE =
       "HTTP/1.1 101 Switching\r\nupgrade: websocket\r\nconnection: upgrade\r\n\r\n";
+  private static final String CHUNKS = OK + "transfer-encoding: chunked\r\n\r\n";
 
   /** More than what the buffers of two sockets hold, less than what they pass in a second. */
   private static final long BUFFERED_BYTES = 24 << 20;
@@ -499,6 +503,17 @@
     assertCut(t);
   }
 
+  @ParameterizedTest
+  @ValueSource(strings = {"x", "\r\n", "xyz\r\n", OTHER + "\r\n"})
+  void bytesWithoutEndAfterAnAnswerCloseItsConnection(String more) throws Exception {
+    ScriptedTarget t =
+        target("t", id -> ScriptedTarget.answer("200 OK", id, "whole") + REPEATED + more);
+    WebClient client = start(view("sheets", RangeTable.empty()));
+
+    assertThat(send(client, HttpMethod.POST, "/once/a", "body").contentUtf8(), is("whole"));
+    assertCut(t);
+  }
+
   /** Answers targets that add bytes to an answer: the next request must not be sent after them. */
   @ParameterizedTest
   @ValueSource(strings = {"x", "\r\n"})
@@ -540,6 +555,67 @@
     assertThat(response.headers().get("cowslipmoor-result"), is("1011"));
   }
 
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        REPEATED + "1",
+        "1;" + REPEATED + "a",
+        "1\r\nx" + REPEATED + "y",
+        "0\r\n" + REPEATED + "x: y\r\n"
+      })
+  void bytesWithoutEndBetweenChunksBreakTheAnswerOff(String body) throws Exception {
+    ScriptedTarget t = target("t", id -> CHUNKS + body);
+    WebClient client = start(view("sheets", RangeTable.empty()));
+
+    assertThrows(CompletionException.class, () -> send(client, HttpMethod.POST, "/once/a", "body"));
+    assertCut(t);
+  }
+
+  /** An answer without a length or an end is a large one: its deadline and its caller end it. */
+  @ParameterizedTest
+  @EnumSource
+  void answerWithoutEndIsHeldBackAndBrokenOff(Reading reading) throws Exception {
+    ScriptedTarget t = target("t", id -> OK + "\r\n" + REPEATED + "xyz");
+    start(view("sheets", RangeTable.empty()));
+    final long begin = System.nanoTime();
+    StringBuilder end = new StringBuilder();
+    try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), ports[0])) {
+      caller
+          .getOutputStream()
+          .write(
+              "GET /safe/a HTTP/1.1\r\nhost: shop.example\r\nrequest-id: r-1\r\n\r\n"
+                  .getBytes(StandardCharsets.US_ASCII));
+      byte[] bytes = new byte[8_192];
+      int n = caller.getInputStream().read(bytes);
+      while (reading == Reading.ALL && n > 0) {
+        end.setLength(0);
+        end.append(new String(bytes, 0, n, StandardCharsets.US_ASCII));
+        n = caller.getInputStream().read(bytes);
+      }
+      if (reading == Reading.STOPS) {
+        assertCut(t);
+      }
+    } catch (IOException e) {
+      assertThat(reading, is(Reading.ALL));
+    }
+
+    t.endlessBytes.get(5, TimeUnit.SECONDS);
+    assertThat(end.toString(), not(endsWith("0\r\n\r\n")));
+    long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begin);
+    assertThat(millis, reading == Reading.LEAVES ? lessThan(2_500L) : greaterThan(2_900L));
+    assertThat(millis, lessThan(3_500L));
+    assertThat(
+        metrics.get("/metrics").aggregate().join().contentUtf8(),
+        containsString("cowslipmoor_requests_in_progress 0\n"));
+  }
+
+  /** What a caller does with an answer. */
+  enum Reading {
+    ALL,
+    STOPS,
+    LEAVES
+  }
+
   private static boolean isListening(int port) {
     try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
       return socket.isConnected();
