End what a tenure inherits only by a release or by time

Cause: a fence lives in the memory of a target. An owner took the first grant of a new tenure and released its keys at once for another target; it started again, forgot the fence, and a former coordinator that still trusted its lease renewed its old grant there. Class of fault: the end of a lease is inferred from a fence that its holder may forget. Change: an accepted grant no longer ends the wait for grants under lower fences; a release by an owner that had accepted this tenure's fence does, and releases begin once no former coordinator can grant any more.

--- a/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
@@ -40,6 +40,10 @@
   private final RangeListener listener;
   private final List<Holding> holdings = new ArrayList<>();
   private final Map<String, Settling> settling = new HashMap<>();
+
+  /** Until when a former coordinator may go on granting. */
+  private final long overlapUntil;
+
   private long version;
   private long lastFence;
   private @Nullable RangeTable writing;
@@ -56,12 +60,13 @@
     this.listener = listener;
     this.version = stored.version();
     this.lastFence = stored.lastFence();
+    this.overlapUntil = now + timing.overlap();
     this.nextRebalanceAt = now + timing.rebalance();
     this.nextWriteAt = now;
     for (RangeEntry e : merged(stored)) {
       lastFence++;
       Holding h = new Holding(e.withFence(lastFence), now);
-      h.inheritedUntil = timing.lapse(now + timing.overlap(), timing.longHold());
+      h.inheritedUntil = timing.lapse(overlapUntil, timing.longHold());
       holdings.add(h);
       mustWrite = true;
     }
@@ -113,12 +118,9 @@
     long lapse = timing.lapse(now, h.holdInFlight);
     switch (outcome) {
       case ACCEPTED -> {
-        // Grants under lower fences are refused by the target from now on, but one that it took
-        // earlier may last longer than this one; only a release ends it.
-        h.heldUntil = Holding.later(Holding.later(h.heldUntil, h.inheritedUntil), lapse);
-        h.inheritedUntil = now;
         h.isAccepted = true;
         h.acceptedAt = now;
+        h.heldUntil = Holding.later(h.heldUntil, lapse);
         h.nextGrantAt = now + timing.renewal();
       }
       case UNKNOWN -> {
@@ -146,6 +148,10 @@
       return;
     }
     h.isReleaseInFlight = false;
+    if (released && h.isAccepted) {
+      // Grants under lower fences, one of which may have lasted longer than this one, have ended.
+      h.inheritedUntil = now;
+    }
     h.isReleased |= released;
     h.handover = released ? handover : h.handover;
     h.nextReleaseAt = now + timing.releaseRetry();
@@ -189,7 +195,9 @@
     }
     boolean known = directory.find(h.entry.owner()).isPresent();
     if (isLeaving(now, h, directory) && (h.isAccepted || !known)) {
-      if (!h.isReleased && now - h.nextReleaseAt >= 0) {
+      // Before that, a former coordinator might grant to a target that forgets the fence.
+      boolean isReleaseFinal = now - overlapUntil >= 0;
+      if (!h.isReleased && isReleaseFinal && now - h.nextReleaseAt >= 0) {
         h.isReleaseInFlight = true;
         actions.add(new RangeAction.Release(h.entry));
       }
--- a/core/src/test/java/org/cowslipmoor/core/range/RangeCoordinatorTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/RangeCoordinatorTest.java
@@ -35,8 +35,8 @@
   }
 
   /**
-   * A target may go on with an earlier, longer grant after it has taken a shorter one under a higher
-   * fence.
+   * A target may go on with an earlier, longer grant after it has taken a shorter one under a
+   * higher fence.
    */
   @Test
   void shortRenewalDoesNotEndTheFormerTenuresLongHold() {
