Let an accepted grant end a former one once the former lease is over

Change: a grant that is decided when no former coordinator can grant any more, and is accepted, ends what was inherited; one before that does not, since the target may forget its fence in a restart.

--- a/core/src/main/java/org/cowslipmoor/core/range/Holding.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/Holding.java
@@ -24,6 +24,9 @@
   /** Hold of the newest grant. */
   long holdInFlight;
 
+  /** When the newest grant was decided. */
+  long grantedAt;
+
   long nextGrantAt;
   long nextReleaseAt;
 
--- a/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
@@ -121,6 +121,10 @@
         h.isAccepted = true;
         h.acceptedAt = now;
         h.heldUntil = Holding.later(h.heldUntil, lapse);
+        if (h.grantedAt - overlapUntil >= 0) {
+          // It ended those under lower fences, and no coordinator is left that makes new ones.
+          h.inheritedUntil = now;
+        }
         h.nextGrantAt = now + timing.renewal();
       }
       case UNKNOWN -> {
@@ -149,7 +153,7 @@
     }
     h.isReleaseInFlight = false;
     if (released && h.isAccepted) {
-      // Grants under lower fences, one of which may have lasted longer than this one, have ended.
+      // Grants under lower fences have ended, and are refused from now on.
       h.inheritedUntil = now;
     }
     h.isReleased |= released;
@@ -207,6 +211,7 @@
       h.isReleased = false;
       h.handover = null;
       h.holdInFlight = hold;
+      h.grantedAt = now;
       actions.add(new RangeAction.Grant(h.entry, hold));
     }
   }
