Let an owner take the tenure's fence again before it releases its keys

Cause: a release ended what a tenure inherits if the owner had accepted any grant of the tenure. That may have been an earlier life of it, and the life that answers the release knows no fence: a grant of the former coordinator, carried out late, still counts there. Keys of an owner whose entry was gone before its first grant waited out the whole inheritance instead, 11.95 s, though it answered. And grants of a former coordinator arrive up to the order's time-out after it may send the last one. Evidence: releaseByARestartedOwnerDoesNotEndTheFormerTenuresGrants and keysOfAReachableOwnerThatLeavesWithoutNoticeMoveSoonInANewTenure failed before; the latter takes less than 4 s now. Change: a leaving owner is granted its keys once more when no order of a former coordinator can arrive any more, and is asked to release them then. An owner that is no longer announced is granted only while that does not prolong the wait. The overlap counts the order's time-out as well, 2.1 s in all.

--- a/core/src/main/java/org/cowslipmoor/core/range/Holding.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/Holding.java
@@ -13,6 +13,9 @@
   /** Whether the owner has accepted a grant under this fence. */
   boolean isAccepted;
 
+  /** Whether it has accepted one when no former coordinator could grant any more. */
+  boolean isFenceSettled;
+
   boolean isGrantInFlight;
   boolean isReleaseInFlight;
   boolean isReleased;
@@ -57,6 +60,7 @@
     Holding part = new Holding(entry.part(range.from(), range.to()), nextGrantAt);
     part.isWritten = isWritten;
     part.isAccepted = isAccepted;
+    part.isFenceSettled = isFenceSettled;
     part.nextReleaseAt = nextReleaseAt;
     part.acceptedAt = acceptedAt;
     part.heldUntil = heldUntil;
--- a/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
@@ -123,6 +123,7 @@
         h.heldUntil = Holding.later(h.heldUntil, lapse);
         if (h.grantedAt - overlapUntil >= 0) {
           // It ended those under lower fences, and no coordinator is left that makes new ones.
+          h.isFenceSettled = true;
           h.inheritedUntil = now;
         }
         h.nextGrantAt = now + timing.renewal();
@@ -152,10 +153,6 @@
       return;
     }
     h.isReleaseInFlight = false;
-    if (released && h.isAccepted) {
-      // Grants under lower fences have ended, and are refused from now on.
-      h.inheritedUntil = now;
-    }
     h.isReleased |= released;
     h.handover = released ? handover : h.handover;
     h.nextReleaseAt = now + timing.releaseRetry();
@@ -197,11 +194,8 @@
     if (!h.isWritten || h.isInFlight()) {
       return;
     }
-    boolean known = directory.find(h.entry.owner()).isPresent();
-    if (isLeaving(now, h, directory) && (h.isAccepted || !known)) {
-      // Before that, a former coordinator might grant to a target that forgets the fence.
-      boolean isReleaseFinal = now - overlapUntil >= 0;
-      if (!h.isReleased && isReleaseFinal && now - h.nextReleaseAt >= 0) {
+    if (isLeaving(now, h, directory) && !isGrantedBeforeRelease(now, h, hold, directory)) {
+      if (!h.isReleased && now - h.nextReleaseAt >= 0) {
         h.isReleaseInFlight = true;
         actions.add(new RangeAction.Release(h.entry));
       }
@@ -216,6 +210,20 @@
     }
   }
 
+  /**
+   * Tells whether a leaving owner is to take this fence once more before it is asked to release:
+   * only then does the release end the grants of former coordinators, too. An owner that is no
+   * longer announced may be gone, so that waiting for its answer must not prolong what it may hold.
+   */
+  private boolean isGrantedBeforeRelease(
+      long now, Holding h, long hold, TargetDirectory directory) {
+    if (h.isFenceSettled) {
+      return false;
+    }
+    long lapse = timing.lapse(now + timing.order(), hold);
+    return directory.find(h.entry.owner()).isPresent() || h.inheritedUntil - lapse > 0;
+  }
+
   private boolean isLeaving(long now, Holding h, TargetDirectory directory) {
     return h.destination != null
         || h.isReleased
--- a/core/src/main/java/org/cowslipmoor/core/range/RangeTiming.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/RangeTiming.java
@@ -11,8 +11,9 @@
  * @param releaseRetry time between two releases of the same keys
  * @param settling time for which the set of targets must be unchanged before keys are first given
  * @param rebalance time between looks for a better balance
- * @param overlap time for which a former coordinator, whose lease the store ended early, may go on
- *     granting after its successor has begun: the duration of the lease
+ * @param overlap time for which grants of a former coordinator, whose lease the store ended early,
+ *     may go on arriving after its successor has begun
+ * @param order longest time from the sending of an order to its arrival, or to its outcome
  */
 public record RangeTiming(
     long hold,
@@ -21,7 +22,8 @@
     long releaseRetry,
     long settling,
     long rebalance,
-    long overlap) {
+    long overlap,
+    long order) {
   private static final long MS = 1_000_000L;
 
   /** Longest rate error of a target's clock, with a reserve; the platform states 2 in 100. */
@@ -41,8 +43,9 @@
    *
    * @param longestHoldMillis longest hold in milliseconds that the targets allow
    * @param leaseMillis duration of the coordinator's lease in milliseconds
+   * @param orderMillis longest time in milliseconds until an order has an outcome
    */
-  public static RangeTiming standard(long longestHoldMillis, long leaseMillis) {
+  public static RangeTiming standard(long longestHoldMillis, long leaseMillis, long orderMillis) {
     long longest = longestHoldMillis * MS;
     return new RangeTiming(
         Math.min(3_000 * MS, longest),
@@ -51,7 +54,8 @@
         400 * MS,
         700 * MS,
         500 * MS,
-        leaseMillis * MS);
+        (leaseMillis + orderMillis) * MS,
+        orderMillis * MS);
   }
 
   /** Returns when a grant that arrived at {@code arrival} at the latest has surely lapsed. */
--- a/core/src/test/java/org/cowslipmoor/core/range/RangeCoordinatorTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/RangeCoordinatorTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 
 import com.google.common.collect.ImmutableSet;
@@ -17,14 +18,31 @@
   private static final long MS = 1_000_000L;
   private static final long TICK = 50 * MS;
   private static final long LEASE = 1_500 * MS;
+  private static final long ORDER = 600 * MS;
+
+  /** Time from a tenure's begin until the last grant of a former coordinator has arrived. */
+  private static final long OVERLAP = LEASE + ORDER;
+
   private static final String SERVICE = "stock";
   private static final DiscoveredTarget OWNER = target("t0");
+  private static final DiscoveredTarget DRAINING = target("t0", true);
   private static final DiscoveredTarget OTHER = target("t1");
 
-  private final RangeTiming timing = RangeTiming.standard(10_000, LEASE / MS);
+  /** Time after a loss within which keys are to be served again. */
+  private static final long SERVED_AGAIN = 4_000 * MS;
+
+  private final RangeTiming timing = RangeTiming.standard(10_000, LEASE / MS, ORDER / MS);
 
   private static DiscoveredTarget target(String id) {
-    return new DiscoveredTarget(new TargetLife(id, 1), SERVICE, id + ":1", "cairo", 4, false, 0);
+    return target(id, false);
+  }
+
+  private static DiscoveredTarget target(String id, boolean draining) {
+    return new DiscoveredTarget(new TargetLife(id, 1), SERVICE, id + ":1", "cairo", 4, draining, 0);
+  }
+
+  private static TargetDirectory directory(DiscoveredTarget... targets) {
+    return TargetDirectory.of(List.of(targets));
   }
 
   /** The store may end a lease early, while its holder still trusts it and grants. */
@@ -32,7 +50,7 @@
   void keysGrantedByAFormerCoordinatorUntilItsLeaseEndsKeepOneOwner() {
     long grantedOnAt = firstGrantToOther(unused -> GrantOutcome.NOT_SENT);
 
-    assertThat(grantedOnAt, greaterThanOrEqualTo(LEASE + timing.longHold()));
+    assertThat(grantedOnAt, greaterThanOrEqualTo(OVERLAP + timing.longHold()));
   }
 
   /** A former coordinator may still grant once its successor's first grant is accepted. */
@@ -44,21 +62,64 @@
         firstGrantToOther(
             unused -> accepted.getAndSet(true) ? GrantOutcome.NOT_SENT : GrantOutcome.ACCEPTED);
 
-    assertThat(grantedOnAt, greaterThanOrEqualTo(LEASE + timing.longHold()));
+    assertThat(grantedOnAt, greaterThanOrEqualTo(OVERLAP + timing.longHold()));
   }
 
   @Test
   void grantAcceptedAfterTheOverlapEndsTheFormerTenuresLongHold() {
-    long lastAccepted = LEASE + timing.renewal();
+    long lastAccepted = OVERLAP + timing.renewal();
 
     long grantedOnAt =
         firstGrantToOther(
             now -> now <= lastAccepted ? GrantOutcome.ACCEPTED : GrantOutcome.NOT_SENT);
 
-    assertThat(grantedOnAt, greaterThanOrEqualTo(LEASE + timing.hold()));
+    assertThat(grantedOnAt, greaterThanOrEqualTo(OVERLAP + timing.hold()));
     assertThat(grantedOnAt, lessThan(lastAccepted + timing.hold() + 2 * timing.renewal()));
   }
 
+  /** A release tells of the process that answers it, which may have forgotten the fence. */
+  @Test
+  void releaseByARestartedOwnerDoesNotEndTheFormerTenuresGrants() {
+    // The owner restarts unnoticed after it has taken the tenure's fence. The former coordinator
+    // grants to it before the overlap ends; the grant is carried out after the release.
+    long restartAt = 1_000 * MS;
+    long lateGrantArrivesAt = LEASE - 200 * MS;
+    AtomicBoolean fenceKnown = new AtomicBoolean();
+
+    long grantedOnAt =
+        firstGrantToOther(
+            unused -> directory(DRAINING, OTHER),
+            now -> {
+              fenceKnown.compareAndSet(false, now >= restartAt);
+              return GrantOutcome.ACCEPTED;
+            },
+            true);
+
+    assertThat(fenceKnown.get() || grantedOnAt >= lateGrantArrivesAt + timing.longHold(), is(true));
+  }
+
+  /** An owner whose entry has gone serves on for a while and takes orders. */
+  @Test
+  void keysOfAReachableOwnerThatLeavesWithoutNoticeMoveSoonInANewTenure() {
+    long grantedOnAt =
+        firstGrantToOther(unused -> directory(OTHER), unused -> GrantOutcome.ACCEPTED, true);
+
+    assertThat(grantedOnAt, lessThan(SERVED_AGAIN));
+  }
+
+  private static RangeTable stored() {
+    RangeEntry held = new RangeEntry(SERVICE, KeyRange.ALL, OWNER.life(), OWNER.address(), 7, null);
+    return RangeTable.of(3, 7, List.of(held));
+  }
+
+  private RangeCoordinator begin(RangeTable table, RangeListener listener, long now) {
+    return RangeCoordinator.begin(table, timing, listener, now);
+  }
+
+  private static RangeInputs inputs(TargetDirectory directory) {
+    return new RangeInputs(ImmutableSet.of(SERVICE), directory, unused -> ServiceLoad.even(), true);
+  }
+
   /**
    * Runs a tenure that begins at 0 with all keys at {@link #OWNER}, and returns when another target
    * is granted them.
@@ -66,20 +127,19 @@
    * @param outcomes outcome of a grant to the owner at a time
    */
   private long firstGrantToOther(LongFunction<GrantOutcome> outcomes) {
-    RangeEntry held = new RangeEntry(SERVICE, KeyRange.ALL, OWNER.life(), OWNER.address(), 7, null);
-    RangeCoordinator coordinator =
-        RangeCoordinator.begin(RangeTable.of(3, 7, List.of(held)), timing, RangeListener.NONE, 0);
-    RangeInputs inputs =
-        new RangeInputs(
-            ImmutableSet.of(SERVICE),
-            TargetDirectory.of(List.of(OWNER, OTHER)),
-            unused -> ServiceLoad.even(),
-            true);
+    return firstGrantToOther(unused -> directory(OWNER, OTHER), outcomes, false);
+  }
+
+  private long firstGrantToOther(
+      LongFunction<TargetDirectory> directories,
+      LongFunction<GrantOutcome> outcomes,
+      boolean releases) {
+    RangeCoordinator coordinator = begin(stored(), RangeListener.NONE, 0);
     for (long now = 0; now < 30_000 * MS; now += TICK) {
-      for (RangeAction action : coordinator.tick(now, inputs)) {
+      for (RangeAction action : coordinator.tick(now, inputs(directories.apply(now)))) {
         switch (action) {
           case RangeAction.Write a -> coordinator.onWritten(a.table());
-          case RangeAction.Release a -> coordinator.onRelease(now, a.entry(), false, null);
+          case RangeAction.Release a -> coordinator.onRelease(now, a.entry(), releases, null);
           case RangeAction.Grant a -> {
             if (a.entry().owner().equals(OTHER.life())) {
               return now;
--- a/core/src/test/java/org/cowslipmoor/core/range/RangeWorld.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/RangeWorld.java
@@ -24,7 +24,7 @@
   private static final long CALL_TIMEOUT = 600 * MS;
   private static final double SLOW_CLOCK = 1.02;
 
-  final RangeTiming timing = RangeTiming.standard(10_000, 1_500);
+  final RangeTiming timing = RangeTiming.standard(10_000, 1_500, 600);
   final Map<String, FakeTarget> targets = new HashMap<>();
   private final PriorityQueue<Event> events = new PriorityQueue<>();
   private final SplittableRandom random;
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/TargetOrders.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/TargetOrders.java
@@ -8,6 +8,8 @@
 
 /** Tells targets which keys they hold. The futures never fail. */
 public interface TargetOrders {
+  /** Milliseconds after which a grant without an answer is given up and its connection closed. */
+  long GRANT_TIMEOUT_MILLIS = 600;
 
   /**
    * Grants the entry's keys to its owner for a time that counts from the grant's arrival. When the
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -122,7 +122,10 @@
             store,
             orders,
             Leadership.create(settings.leaseMillis(), random),
-            RangeTiming.standard(settings.longestHoldMillis(), settings.leaseMillis()),
+            RangeTiming.standard(
+                settings.longestHoldMillis(),
+                settings.leaseMillis(),
+                TargetOrders.GRANT_TIMEOUT_MILLIS),
             () -> view,
             this::load);
     fleet =
