Do not take owners for lost while nobody asked them

Cause: an owner is lost when it has not accepted a grant for hold and renewal. A coordinator whose lease it can't renew does not grant; back in charge, its first tick found all owners lost before it had asked one. Evidence: ownersKeepTheirKeysWhenTheCoordinatorComesBackAfterTheirGrantsHave- Lapsed failed before (reassigned, reason LAPSED, at once). Change: after a pause of the coordinator's own the time counts anew.

--- a/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
@@ -49,6 +49,7 @@
   private @Nullable RangeTable writing;
   private boolean mustWrite;
   private boolean wasLeaseCertain = true;
+  private long lastTickAt;
   private long nextRebalanceAt;
   private long nextWriteAt;
 
@@ -63,6 +64,7 @@
     this.overlapUntil = now + timing.overlap();
     this.nextRebalanceAt = now + timing.rebalance();
     this.nextWriteAt = now;
+    this.lastTickAt = now;
     for (RangeEntry e : merged(stored)) {
       lastFence++;
       Holding h = new Holding(e.withFence(lastFence), now);
@@ -92,6 +94,12 @@
       holdings.forEach(h -> h.nextGrantAt = now);
     }
     wasLeaseCertain = inputs.leaseCertain();
+    if (now - lastTickAt >= timing.renewal()) {
+      // Owners are not lost because nobody asked them, and keep their keys if they still run.
+      holdings.forEach(h -> h.acceptedAt = now);
+      nextRebalanceAt = now + timing.rebalance();
+    }
+    lastTickAt = now;
     if (writing == null) {
       divideNewServices(now, inputs);
       rebalance(now, inputs);
--- a/core/src/test/java/org/cowslipmoor/core/range/RangeCoordinatorTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/RangeCoordinatorTest.java
@@ -1,11 +1,13 @@
 package org.cowslipmoor.core.range;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 
 import com.google.common.collect.ImmutableSet;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongFunction;
@@ -107,6 +109,27 @@
     assertThat(grantedOnAt, lessThan(SERVED_AGAIN));
   }
 
+  /** As when the store is down for longer than the longest grant and keeps the lease. */
+  @Test
+  void ownersKeepTheirKeysWhenTheCoordinatorComesBackAfterTheirGrantsHaveLapsed() {
+    List<RangeListener.Reassignment> reassigned = new ArrayList<>();
+    RangeCoordinator coordinator = begin(stored(), reassigned::add, 0);
+    RangeInputs inputs = inputs(directory(OWNER, OTHER));
+    for (long now = 0; now < 400 * MS; now += TICK) {
+      for (RangeAction action : coordinator.tick(now, inputs)) {
+        switch (action) {
+          case RangeAction.Write a -> coordinator.onWritten(a.table());
+          case RangeAction.Release a -> throw new AssertionError("released: " + a);
+          case RangeAction.Grant a -> coordinator.onGrant(now, a.entry(), GrantOutcome.ACCEPTED);
+        }
+      }
+    }
+
+    coordinator.tick(30_000 * MS, inputs);
+
+    assertThat(reassigned, is(empty()));
+  }
+
   private static RangeTable stored() {
     RangeEntry held = new RangeEntry(SERVICE, KeyRange.ALL, OWNER.life(), OWNER.address(), 7, null);
     return RangeTable.of(3, 7, List.of(held));
