Let an owner that never answers lose its keys

What callers saw: keys of a target that takes connections and announces itself, but answers no grant, were refused for as long as that lasted. Cause: each grant without an answer may be carried out late and so prolongs the time until the keys are free; a silent owner was granted them again each second, for ever. Change: an owner that has not accepted a grant for hold and renewal is granted the keys no more where that would prolong the wait; once they are free it is lost like any other.

--- a/core/src/main/java/org/cowslipmoor/core/range/Holding.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/Holding.java
@@ -71,7 +71,12 @@
 
   /** Takes over until when the owner of the former entry may hold the keys. */
   void inheritFrom(Holding former) {
-    inheritedUntil = later(later(former.heldUntil, former.unsettledUntil), former.inheritedUntil);
+    inheritedUntil = former.mayHoldUntil();
+  }
+
+  /** Returns until when the owner may hold the keys if it does not release them. */
+  long mayHoldUntil() {
+    return later(later(heldUntil, unsettledUntil), inheritedUntil);
   }
 
   /** Tells whether an order to the owner has no outcome yet. */
--- a/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
@@ -207,7 +207,7 @@
         h.isReleaseInFlight = true;
         actions.add(new RangeAction.Release(h.entry));
       }
-    } else if (now - h.nextGrantAt >= 0) {
+    } else if (now - h.nextGrantAt >= 0 && !(isSilent(now, h) && isProlonging(now, h, hold))) {
       h.isGrantInFlight = true;
       // What it released before, it is about to hold again.
       h.isReleased = false;
@@ -221,15 +221,22 @@
   /**
    * Tells whether a leaving owner is to take this fence once more before it is asked to release:
    * only then does the release end the grants of former coordinators, too. An owner that is no
-   * longer announced may be gone, so that waiting for its answer must not prolong what it may hold.
+   * longer announced may be gone, and must not be waited for.
    */
   private boolean isGrantedBeforeRelease(
       long now, Holding h, long hold, TargetDirectory directory) {
-    if (h.isFenceSettled) {
-      return false;
-    }
-    long lapse = timing.lapse(now + timing.order(), hold);
-    return directory.find(h.entry.owner()).isPresent() || h.inheritedUntil - lapse > 0;
+    return !h.isFenceSettled
+        && (directory.find(h.entry.owner()).isPresent() || !isProlonging(now, h, hold));
+  }
+
+  /** Tells whether a grant, if it gets no answer, makes the time longer until the keys are free. */
+  private boolean isProlonging(long now, Holding h, long hold) {
+    return timing.lapse(now + timing.order(), hold) - h.mayHoldUntil() > 0;
+  }
+
+  /** Tells whether the owner has not taken a grant for so long that it is to lose its keys. */
+  private boolean isSilent(long now, Holding h) {
+    return now - h.acceptedAt >= timing.hold() + timing.renewal();
   }
 
   private boolean isLeaving(long now, Holding h, TargetDirectory directory) {
@@ -241,7 +248,7 @@
 
   /** Tells whether the owner has not taken a grant for so long that it no longer holds the keys. */
   private boolean isLost(long now, Holding h) {
-    return h.isWritten && now - h.acceptedAt >= timing.hold() + timing.renewal() && h.isFree(now);
+    return h.isWritten && isSilent(now, h) && h.isFree(now);
   }
 
   private void divideNewServices(long now, RangeInputs inputs) {
--- a/core/src/test/java/org/cowslipmoor/core/range/RangeCoordinatorTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/RangeCoordinatorTest.java
@@ -130,6 +130,14 @@
     assertThat(reassigned, is(empty()));
   }
 
+  /** Each grant without an answer may be carried out late, so the keys are never free. */
+  @Test
+  void ownerThatAnnouncesItselfButNeverAnswersLosesItsKeys() {
+    long grantedOnAt = firstGrantToOther(unused -> GrantOutcome.UNKNOWN);
+
+    assertThat(grantedOnAt, lessThan(20_000 * MS));
+  }
+
   private static RangeTable stored() {
     RangeEntry held = new RangeEntry(SERVICE, KeyRange.ALL, OWNER.life(), OWNER.address(), 7, null);
     return RangeTable.of(3, 7, List.of(held));
