Model two coordinators, a store and slow hosts in the ownership world

Cause: the world behind the ownership properties had one coordinator at a time that always knew its lease, and targets that took no grant for another life. Change: hosts with leases of their own against a store that takes them away, loses answers, carries writes out late or is away for some hosts; orders that are sent late, hosts that stand still; targets that restart, come back at used addresses, announce a former life, forget fences, or can't be reached by some hosts. Each grant that a target takes is checked on all its keys, for other holders and for fences that are not above all before.

--- a/core/src/test/java/org/cowslipmoor/core/range/RangeWorld.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/RangeWorld.java
@@ -1,105 +1,130 @@
 package org.cowslipmoor.core.range;
 
-import com.google.common.collect.ImmutableSet;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
-import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.discovery.TargetDirectory;
 import org.cowslipmoor.core.discovery.TargetLife;
 
 /**
- * A store, some targets and one coordinator at a time in virtual time, with orders that get lost or
- * are carried out late, targets that leave, crash and start again, and coordinators that are lost.
+ * A store, some targets and the hosts that coordinate them in virtual time, with orders that get
+ * lost or are carried out late, targets that leave, crash and start again, links that are cut, and
+ * hosts that are lost or slow.
  */
 final class RangeWorld {
   static final String SERVICE = "stock";
-  static final long MS = 1_000_000L;
-  private static final long TICK = 50 * MS;
-  private static final long CALL_TIMEOUT = 600 * MS;
-  private static final double SLOW_CLOCK = 1.02;
+  static final long MS = VirtualTime.MS;
+  private static final long LATENCY = MS;
+  static final long CALL_TIMEOUT = 600 * MS;
+  private static final long RELEASE_TIMEOUT = 2_500 * MS;
+  private static final long WORK = 150 * MS;
 
-  final RangeTiming timing = RangeTiming.standard(10_000, 1_500, 600);
+  /** Time after which the entry of a silent target lapses. */
+  private static final long ENTRY_LIFE = 2_600 * MS;
+
+  final VirtualTime time = new VirtualTime();
+  final FakeStore store;
   final Map<String, FakeTarget> targets = new HashMap<>();
-  private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private final OwnerCheck check = new OwnerCheck();
+  private final Map<String, DiscoveredTarget> formerEntries = new HashMap<>();
+  private final Map<Way, Link> links = new HashMap<>();
   private final SplittableRandom random;
-  private final double lateShare;
   private final double holdFactor;
-  private RangeTable stored = RangeTable.empty();
-  private RangeCoordinator coordinator;
-  private long now = 1;
-  private long order;
+  private FakeHost leader;
   private long nextLife = 1;
   ServiceLoad load = ServiceLoad.even();
-  int violations;
-  int moves;
-
-  private record Event(long at, long order, Runnable work) implements Comparable<Event> {
-    @Override
-    public int compareTo(Event other) {
-      return at == other.at ? Long.compare(order, other.order) : Long.compare(at, other.at);
-    }
-  }
 
-  private record Held(KeyRange range, long fence, long until) {}
+  /** Whether targets refuse orders that are meant for another id at their address. */
+  boolean checksInstance = true;
 
-  /** One target: what it holds and the highest fence that it has seen of each range. */
-  static final class FakeTarget {
-    DiscoveredTarget announced;
-    boolean running = true;
-    boolean announcing = true;
-    private final List<Held> held = new ArrayList<>();
-    private final Set<Held> seen = new HashSet<>();
-
-    FakeTarget(DiscoveredTarget announced) {
-      this.announced = announced;
-    }
-
-    boolean holds(int key, long now) {
-      return running && held.stream().anyMatch(h -> h.range().contains(key) && h.until() > now);
-    }
+  /** Part of the orders that get no answer and are carried out late. */
+  double lateShare;
 
-    private boolean isFenced(KeyRange range, long fence) {
-      return seen.stream().anyMatch(h -> h.fence() > fence && overlap(h.range(), range));
-    }
+  /** How orders fare on their way to a target. */
+  enum Link {
+    /** They are lost, and the sender hears nothing. */
+    SILENT,
+    /** The connection is refused before anything is sent. */
+    REFUSED
   }
 
+  private record Way(FakeHost from, String target) {}
+
   /**
-   * Creates a world.
+   * Creates a world in which one host coordinates.
    *
-   * @param lateShare part of the orders that get no answer and are carried out late
    * @param holdFactor times longer that targets hold keys than they were granted, but for clocks
    */
   RangeWorld(long seed, int targetCount, double lateShare, double holdFactor) {
     this.random = new SplittableRandom(seed);
     this.lateShare = lateShare;
     this.holdFactor = holdFactor;
+    this.store = new FakeStore(time, random.split());
     for (int i = 0; i < targetCount; i++) {
       addTarget("t" + i);
     }
-    coordinator = RangeCoordinator.begin(stored, timing, RangeListener.NONE, now);
+    leader = addHost();
+    leader.takeOver();
+  }
+
+  /** Adds a host that coordinates once nobody else does. */
+  FakeHost addHost() {
+    return addHost(FakeHost.LEASE);
+  }
+
+  /** Adds a host that believes its leases to last as long as given. */
+  FakeHost addHost(long trustedLease) {
+    return new FakeHost(this, trustedLease, random.split());
+  }
+
+  /** Returns the host that was the last to be put in charge by this world. */
+  FakeHost leader() {
+    return leader;
+  }
+
+  /** Another host takes the coordination over; the former one is gone. */
+  void replaceCoordinator() {
+    leader.stop();
+    store.revoke();
+    leader = addHost();
+    leader.takeOver();
+  }
+
+  void cut(FakeHost host, String target, Link link) {
+    links.put(new Way(host, target), link);
+  }
+
+  void healLinks() {
+    links.clear();
   }
 
   void addTarget(String id) {
-    TargetLife life = new TargetLife(id, nextLife++);
-    targets.put(id, new FakeTarget(announced(life, false)));
+    addTarget(id, id + ":1");
+  }
+
+  /** Starts a target at an address, which another one may have had. */
+  void addTarget(String id, String address) {
+    FakeTarget former = targets.get(id);
+    if (former != null) {
+      former.running = false;
+      formerEntries.put(id, former.announced);
+    }
+    targets.put(id, new FakeTarget(entry(nextLife(id), address, false), address, holdFactor));
   }
 
   void drain(String id) {
     FakeTarget t = targets.get(id);
-    t.announced = announced(t.announced.life(), true);
+    t.announced = entry(t.announced.life(), t.address, true);
   }
 
   /** The target's process ends; its entry lapses some time later. */
   void crash(String id) {
     FakeTarget t = targets.get(id);
     t.running = false;
-    after(2_600 * MS, () -> t.announcing = targets.get(id) != t && t.announcing);
+    time.after(ENTRY_LIFE, () -> t.announcing = targets.get(id) != t && t.announcing);
   }
 
   /** The target starts again under its id and holds nothing. */
@@ -107,14 +132,21 @@
     addTarget(id);
   }
 
+  /** The target starts again under its id at another address. */
+  void restartElsewhere(String id) {
+    addTarget(id, id + ":2");
+  }
+
   /** The target starts again under its id and address; its former entry stays for a while. */
   void restartUnnoticed(String id, long delay) {
     FakeTarget former = targets.get(id);
-    FakeTarget t = new FakeTarget(former.announced);
+    former.running = false;
+    formerEntries.put(id, former.announced);
+    FakeTarget t = new FakeTarget(former.announced, former.address, holdFactor);
     t.announcing = former.announcing;
     targets.put(id, t);
-    DiscoveredTarget entry = announced(new TargetLife(id, nextLife++), false);
-    after(
+    DiscoveredTarget entry = entry(nextLife(id), former.address, false);
+    time.after(
         delay,
         () -> {
           t.announced = entry;
@@ -122,6 +154,14 @@
         });
   }
 
+  /** A beat of the target's former life comes after one of the present life, until the next. */
+  void beatOfFormerLife(String id, long duration) {
+    FakeTarget t = targets.get(id);
+    DiscoveredTarget present = t.announced;
+    t.announced = formerEntries.getOrDefault(id, present);
+    time.after(duration, () -> t.announced = present);
+  }
+
   /** The target's entry vanishes although it goes on. */
   void vanish(String id) {
     targets.get(id).announcing = false;
@@ -133,22 +173,30 @@
     t.announcing |= t.running;
   }
 
-  /** Another host takes the coordination over. */
-  void replaceCoordinator() {
-    coordinator = RangeCoordinator.begin(stored, timing, RangeListener.NONE, now);
+  /** Lets time pass until the store has renewed a lease. */
+  void runUntilRenewal() {
+    int before = store.renewals;
+    while (store.renewals == before) {
+      time.run(MS);
+    }
   }
 
   void run(long duration) {
-    long end = now + duration;
-    while (now < end) {
-      now += TICK;
-      while (!events.isEmpty() && events.peek().at() <= now) {
-        events.poll().work().run();
-      }
-      RangeCoordinator c = coordinator;
-      c.tick(now, inputs()).forEach(a -> perform(c, a));
-      check();
+    time.run(duration);
+  }
+
+  /** Returns what broke sole ownership, in order. */
+  List<String> violations() {
+    return check.violations;
+  }
+
+  /** Lets time pass until all keys are served; returns whether that comes in time. */
+  boolean comesToServeAll(long limit) {
+    long end = time.now() + limit;
+    while (servedShare() < 1 && time.now() < end) {
+      time.run(50 * MS);
     }
+    return servedShare() == 1;
   }
 
   /** Returns the part of sampled keys that a running target holds. */
@@ -158,127 +206,91 @@
     for (int key = 0; key <= KeyRange.LAST_KEY; key += 251) {
       int k = key;
       sampled++;
-      served += targets.values().stream().anyMatch(t -> t.holds(k, now)) ? 1 : 0;
+      served += targets.values().stream().anyMatch(t -> t.holds(k, time.now())) ? 1 : 0;
     }
     return (double) served / sampled;
   }
 
-  RangeTable stored() {
-    return stored;
-  }
-
-  private RangeInputs inputs() {
-    List<DiscoveredTarget> listed =
-        targets.values().stream().filter(t -> t.announcing).map(t -> t.announced).toList();
-    return new RangeInputs(
-        ImmutableSet.of(SERVICE), TargetDirectory.of(listed), unused -> load, true);
+  /** Returns the owner of a key by the table in the store. */
+  String owner(int key) {
+    return store.table().find(SERVICE, key).orElseThrow().owner().id();
   }
 
-  private void perform(RangeCoordinator c, RangeAction action) {
-    switch (action) {
-      case RangeAction.Grant a -> order(c, a);
-      case RangeAction.Release a -> release(c, a.entry());
-      case RangeAction.Write a -> after(5 * MS, () -> write(c, a.table()));
-    }
-  }
-
-  private void write(RangeCoordinator c, RangeTable table) {
-    if (table.version() == stored.version() + 1 && c == coordinator) {
-      stored = table;
-      moves++;
-      c.onWritten(table);
-    }
+  TargetDirectory directory() {
+    return TargetDirectory.of(
+        targets.values().stream().filter(t -> t.announcing).map(t -> t.announced).toList());
   }
 
-  private void order(RangeCoordinator c, RangeAction.Grant a) {
-    FakeTarget t = target(a.entry());
-    long arrival = now + MS;
-    if (t == null || !t.running) {
-      after(CALL_TIMEOUT, () -> c.onGrant(now, a.entry(), GrantOutcome.UNKNOWN));
+  /** Carries a grant to the process at the entry's address. */
+  void grant(FakeHost from, RangeAction.Grant a, Consumer<GrantOutcome> answer) {
+    FakeTarget t = listening(a.entry());
+    long arrival = time.now() + LATENCY;
+    Link link = links.get(new Way(from, a.entry().owner().id()));
+    if (link == Link.REFUSED) {
+      time.after(LATENCY, () -> answer.accept(GrantOutcome.NOT_SENT));
+    } else if (link == Link.SILENT || t == null) {
+      from.onTimer(CALL_TIMEOUT, () -> answer.accept(GrantOutcome.UNKNOWN));
     } else if (random.nextDouble() < lateShare) {
-      long delay = 2_000 * MS + random.nextLong(10_000 * MS);
-      after(delay, () -> apply(t, a, arrival));
-      after(CALL_TIMEOUT, () -> c.onGrant(now, a.entry(), GrantOutcome.UNKNOWN));
+      time.after(2_000 * MS + random.nextLong(10_000 * MS), () -> apply(from, t, a, arrival));
+      from.onTimer(CALL_TIMEOUT, () -> answer.accept(GrantOutcome.UNKNOWN));
     } else {
-      after(
-          MS,
+      time.after(
+          LATENCY,
           () -> {
-            GrantOutcome outcome = apply(t, a, arrival);
-            after(MS, () -> c.onGrant(now, a.entry(), outcome));
+            GrantOutcome outcome = apply(from, t, a, arrival);
+            time.after(LATENCY, () -> answer.accept(outcome));
           });
     }
   }
 
-  private GrantOutcome apply(FakeTarget t, RangeAction.Grant a, long arrival) {
-    KeyRange range = a.entry().range();
-    long fence = a.entry().fence();
-    if (t.isFenced(range, fence)) {
-      return GrantOutcome.FENCED;
-    }
-    long until = arrival + (long) (a.holdNanos() * SLOW_CLOCK * holdFactor);
-    t.held.removeIf(h -> h.until() <= now);
-    if (until > now) {
-      t.held.add(new Held(range, fence, until));
+  /** Carries a release to the process at the entry's address. */
+  void release(FakeHost from, RangeEntry entry, Consumer<Boolean> answer) {
+    FakeTarget t = listening(entry);
+    Link link = links.get(new Way(from, entry.owner().id()));
+    if (link == Link.REFUSED) {
+      time.after(LATENCY, () -> answer.accept(false));
+    } else if (link == Link.SILENT || t == null) {
+      from.onTimer(RELEASE_TIMEOUT, () -> answer.accept(false));
+    } else {
+      time.after(
+          LATENCY,
+          () -> {
+            t.release(entry.range(), entry.fence());
+            time.after(WORK, () -> answer.accept(true));
+          });
     }
-    t.seen.add(new Held(range, fence, 0));
-    return GrantOutcome.ACCEPTED;
   }
 
-  private void release(RangeCoordinator c, RangeEntry entry) {
-    FakeTarget t = target(entry);
-    if (t == null || !t.running) {
-      after(CALL_TIMEOUT, () -> c.onRelease(now, entry, false, null));
-      return;
+  private GrantOutcome apply(FakeHost from, FakeTarget t, RangeAction.Grant a, long arrival) {
+    if (!t.running) {
+      return GrantOutcome.UNKNOWN;
     }
-    after(
-        MS,
-        () -> {
-          List<Held> kept = new ArrayList<>();
-          for (Held h : t.held) {
-            kept.addAll(without(h, entry.range()));
-          }
-          t.held.clear();
-          t.held.addAll(kept);
-          t.seen.add(new Held(entry.range(), entry.fence(), 0));
-          after(150 * MS, () -> c.onRelease(now, entry, true, "handover"));
-        });
-  }
-
-  /** Returns the process that answers at the owner's address; it may run another life. */
-  private FakeTarget target(RangeEntry entry) {
-    return targets.get(entry.owner().id());
-  }
-
-  private void check() {
-    for (int key = 0; key <= KeyRange.LAST_KEY; key += 509) {
-      int k = key;
-      long holders = targets.values().stream().filter(t -> t.holds(k, now)).count();
-      violations += holders > 1 ? 1 : 0;
+    KeyRange range = a.entry().range();
+    long fence = a.entry().fence();
+    boolean counts = !from.hasJustThawed();
+    GrantOutcome outcome = t.grant(range, fence, a.holdNanos(), arrival, time.now(), counts);
+    boolean holds =
+        outcome == GrantOutcome.ACCEPTED && t.lapse(a.holdNanos(), arrival) > time.now();
+    if (holds && counts) {
+      check.onTaken(t, range, fence, time.now(), List.copyOf(targets.values()));
     }
+    return outcome;
   }
 
-  private void after(long delay, Runnable work) {
-    events.add(new Event(now + delay, order++, work));
+  /** Returns the process that takes orders at the owner's address; null when none does. */
+  private FakeTarget listening(RangeEntry entry) {
+    return targets.values().stream()
+        .filter(t -> t.running && t.address.equals(entry.address()))
+        .filter(t -> !checksInstance || t.id().equals(entry.owner().id()))
+        .findFirst()
+        .orElse(null);
   }
 
-  private static DiscoveredTarget announced(TargetLife life, boolean draining) {
-    return new DiscoveredTarget(life, SERVICE, life.id() + ":1", "cairo", 4, draining, 0);
-  }
-
-  private static List<Held> without(Held h, KeyRange range) {
-    List<Held> parts = new ArrayList<>();
-    if (h.range().from() < range.from()) {
-      int to = Math.min(h.range().to(), range.from() - 1);
-      parts.add(new Held(new KeyRange(h.range().from(), to), h.fence(), h.until()));
-    }
-    if (h.range().to() > range.to()) {
-      int from = Math.max(h.range().from(), range.to() + 1);
-      parts.add(new Held(new KeyRange(from, h.range().to()), h.fence(), h.until()));
-    }
-    return parts;
+  private TargetLife nextLife(String id) {
+    return new TargetLife(id, nextLife++);
   }
 
-  private static boolean overlap(KeyRange a, KeyRange b) {
-    return a.from() <= b.to() && b.from() <= a.to();
+  private static DiscoveredTarget entry(TargetLife life, String address, boolean draining) {
+    return new DiscoveredTarget(life, SERVICE, address, "cairo", 4, draining, 0);
   }
 }
