Give a lease up whose renewals succeed too late to be trusted

Cause: renewals that the store carries out, but that are answered after more than 1.35 s, keep the lease there, and no other host claims; their host never trusts it. Evidence: hostWhoseRenewalsAreAnsweredTooLateGivesTheCoordinationUp failed before (renewed for 14 s without leading). Change: after three such renewals in a row the host ends its lease, and claims again after 3 s at the earliest.

--- a/core/src/main/java/org/cowslipmoor/core/range/Leadership.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/Leadership.java
@@ -27,6 +27,12 @@
 
   private static final long CLAIM_RETRY = 500 * MS;
 
+  /** Renewals in a row that succeed too late to be trusted, after which the lease is given up. */
+  private static final int MOST_LATE_RENEWALS = 3;
+
+  /** Least time without a claim after that, so that a faster host comes first. */
+  private static final long LATE_PAUSE = 3_000 * MS;
+
   private final long ttl;
   private final RandomGenerator random;
   private boolean vacant;
@@ -36,6 +42,8 @@
   private @Nullable Lease lease;
   private long claimAt;
   private long nextCallAt;
+  private boolean isRenewed;
+  private int lateRenewals;
   private long renewedAt;
   private long until;
 
@@ -93,6 +101,15 @@
       if (now - nextCallAt < 0) {
         return Optional.empty();
       }
+      if (isRenewed) {
+        lateRenewals = leads(now) ? 0 : lateRenewals + 1;
+        isRenewed = false;
+      }
+      if (lateRenewals >= MOST_LATE_RENEWALS) {
+        onLost(now);
+        claimAt = now + LATE_PAUSE + random.nextLong(CLAIM_SPREAD);
+        return Optional.of(new Action.End(held));
+      }
       nextCallAt = now + ttl / RENEWALS;
       beginCall();
       return Optional.of(new Action.Renew(held));
@@ -140,6 +157,7 @@
   public void onLost(long now) {
     callInFlight = false;
     lease = null;
+    lateRenewals = 0;
     claimAt = now + random.nextLong(CLAIM_SPREAD);
   }
 
@@ -184,6 +202,7 @@
     if (isCallOutdated) {
       return;
     }
+    isRenewed = true;
     renewedAt = sentAt;
     until = sentAt + (long) (ttl * (1 - MARGIN));
     nextCallAt = sentAt + ttl / RENEWALS;
--- a/core/src/test/java/org/cowslipmoor/core/range/LeadershipTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/LeadershipTest.java
@@ -80,6 +80,24 @@
     assertThat(leadership.leads(411 * MS), is(false));
   }
 
+  /** Otherwise no host coordinates: the store keeps the lease, and its holder never trusts it. */
+  @Test
+  void hostWhoseRenewalsAreAnsweredTooLateGivesTheCoordinationUp() {
+    leadership.onClaimed(0, LEASE);
+    long now = 1_400 * MS;
+    for (int i = 0; i < 10; i++) {
+      Optional<Leadership.Action> action = leadership.tick(now);
+      if (!action.equals(Optional.of(new Leadership.Action.Renew(LEASE)))) {
+        return;
+      }
+      long sentAt = now;
+      now += 1_400 * MS;
+      leadership.onRenewed(sentAt);
+      assertThat(leadership.leads(now), is(false));
+    }
+    throw new AssertionError("it renewed its lease for 14 s without leading");
+  }
+
   @Test
   void resignedHostNeverClaimsAgain() {
     leadership.onClaimed(0, LEASE);
