Give a claim's lease back when it is answered after resigning

A host that is told to stop while its claim is under way would coordinate once the claim is answered: it raises all fences and grants for up to 0.9 of the lease, never renews, and leaves the lease to lapse, so that the other hosts can't claim until then. Cause: Leadership.resign had no lease to end yet, and onClaimed took the lease without a look at the resignation. Class of fault: an answer that is taken in a state that no longer wants it, with what it brought left unreturned. Evidence: claimAnsweredAfterResigningIsGivenBack; before, leads(410 ms) Expected: is <false> but: was <true> and it passes after. Change: onClaimed returns the call that ends the lease if the host has resigned, as resign does, and Coordination makes it at once. Conclusion: no rule of one owner broke by it, since the lease was valid; a planned stop hands over without waiting for the lease.

--- a/core/src/main/java/org/cowslipmoor/core/range/Leadership.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/Leadership.java
@@ -126,12 +126,21 @@
     isCallOutdated = false;
   }
 
-  /** Takes a claim's success; {@code sentAt} is when its first call was sent. */
-  public void onClaimed(long sentAt, Lease newLease) {
+  /**
+   * Takes a claim's success; returns the call that ends the lease, if the coordination was given up
+   * meanwhile.
+   *
+   * @param sentAt when the claim's first call was sent
+   */
+  public Optional<Action> onClaimed(long sentAt, Lease newLease) {
     callInFlight = false;
     vacant = false;
+    if (resigned) {
+      return Optional.of(new Action.End(newLease));
+    }
     lease = newLease;
     renew(sentAt);
+    return Optional.empty();
   }
 
   /** Takes a claim's failure, or that its outcome is unknown. */
--- a/core/src/test/java/org/cowslipmoor/core/range/LeadershipTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/LeadershipTest.java
@@ -106,4 +106,17 @@
     assertThat(firstAction(0, 5_000 * MS), is(Optional.empty()));
     assertThat(leadership.leads(0), is(false));
   }
+
+  /** A lease that nobody ends keeps the other hosts from claiming until it lapses. */
+  @Test
+  void claimAnsweredAfterResigningIsGivenBack() {
+    leadership.onVacancy(0, true);
+    assertThat(firstAction(0, 400 * MS).orElseThrow(), instanceOf(Leadership.Action.Claim.class));
+    assertThat(leadership.resign(), is(Optional.empty()));
+
+    Optional<Leadership.Action> end = leadership.onClaimed(400 * MS, LEASE);
+
+    assertThat(leadership.leads(410 * MS), is(false));
+    assertThat(end.orElseThrow(), is(new Leadership.Action.End(LEASE)));
+  }
 }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/Coordination.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/Coordination.java
@@ -156,8 +156,11 @@
       leadership.onClaimFailed(System.nanoTime());
       return;
     }
-    Logger.info("coordinates from now on, lease {} term {}", lease.id(), lease.term());
-    leadership.onClaimed(sentAt, lease);
+    Optional<Leadership.Action> end = leadership.onClaimed(sentAt, lease);
+    if (end.isEmpty()) {
+      Logger.info("coordinates from now on, lease {} term {}", lease.id(), lease.term());
+    }
+    end.ifPresent(this::call);
   }
 
   private void onRenewal(long sentAt, SharedStore.CallResult result) {
