Pause between looks for a table whose write got no answer

A coordinator whose write of the table got no answer, and whose reads the store turns away, called the store as fast as refusals arrived. Each call has a price and counts towards the limit that the hosts share. Nothing was logged meanwhile. Cause: Coordination.resolve repeated a read that had no answer from within its own answer, also after the lease was no longer trusted. Class of fault: a retry that is driven by its failure instead of by time. Evidence: lostWriteIsNotLookedUpAgainWithoutPause; before, reads after a refused one: Expected: is <0> but: was <1> It passes after, and so do three tests of when the looks are made and end. Change: the tick makes the look that is due. One without an answer is due again 400 ms later, none is made while the lease is not trusted, and the one of a tenure that has ended is dropped, as is its answer. Each is logged with its outcome (table_look_up). The clocks are arguments of a constructor, so that the tests run in virtual time.

--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/Coordination.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/Coordination.java
@@ -1,5 +1,6 @@
 package org.cowslipmoor.daemon.coordination;
 
+import com.google.common.annotations.VisibleForTesting;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.HashMap;
@@ -7,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.cowslipmoor.core.fleet.FleetState;
 import org.cowslipmoor.core.range.Leadership;
@@ -27,12 +29,17 @@
  * host's event loop.
  */
 public final class Coordination {
+  /** Time between two looks for the same table in the store; each one costs a call. */
+  @VisibleForTesting static final long LOOK_UP_PAUSE = 400_000_000L;
+
   private final SharedStore store;
   private final TargetOrders orders;
   private final Leadership leadership;
   private final RangeTiming timing;
   private final Supplier<StoreView> view;
   private final Function<String, ServiceLoad> loads;
+  private final LongSupplier steadyClock;
+  private final LongSupplier timeOfDay;
   private final HostClock clock;
   private final OwnershipLog log;
   private Runnable onMoving = () -> {};
@@ -40,6 +47,16 @@
   private boolean isReading;
   private boolean wasCertain;
   private long tableRevision;
+  private @Nullable LookUp lookUp;
+
+  /**
+   * A look at the store that is due, since a write of the table got no answer.
+   *
+   * @param coordinator the tenure that wrote the table
+   * @param table what was written
+   * @param at when to look, in nanoseconds
+   */
+  private record LookUp(RangeCoordinator coordinator, RangeTable table, long at) {}
 
   /**
    * Creates the coordination of a host.
@@ -54,19 +71,43 @@
       RangeTiming timing,
       Supplier<StoreView> view,
       Function<String, ServiceLoad> loads) {
+    this(
+        store,
+        orders,
+        leadership,
+        timing,
+        view,
+        loads,
+        System::nanoTime,
+        () -> TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis()));
+  }
+
+  /** Creates the coordination of a host that reads the given clocks, in nanoseconds. */
+  @VisibleForTesting
+  Coordination(
+      SharedStore store,
+      TargetOrders orders,
+      Leadership leadership,
+      RangeTiming timing,
+      Supplier<StoreView> view,
+      Function<String, ServiceLoad> loads,
+      LongSupplier steadyClock,
+      LongSupplier timeOfDay) {
     this.store = store;
     this.orders = orders;
     this.leadership = leadership;
     this.timing = timing;
     this.view = view;
     this.loads = loads;
-    this.clock = new HostClock(System.nanoTime(), timeOfDay());
-    this.log = OwnershipLog.create(System.nanoTime());
+    this.steadyClock = steadyClock;
+    this.timeOfDay = timeOfDay;
+    this.clock = new HostClock(now(), timeOfDay.getAsLong());
+    this.log = OwnershipLog.create(now());
   }
 
   /** Does what is due; to be called every few tens of milliseconds. */
   public void tick() {
-    long now = System.nanoTime();
+    long now = now();
     checkSuspension(now);
     log.tick(now);
     noteCertainty(now);
@@ -85,6 +126,7 @@
       beginTenure();
       return;
     }
+    lookUpIfDue(now);
     c.tick(now, inputs(now)).forEach(a -> perform(c, a));
   }
 
@@ -107,7 +149,7 @@
 
   /** Returns the lease under which this host coordinates; null when it does not. */
   public Leadership.@Nullable Lease lease() {
-    return leadership.leads(System.nanoTime()) ? leadership.lease() : null;
+    return leadership.leads(now()) ? leadership.lease() : null;
   }
 
   /** Returns the ranges that are being taken back from their owners. */
@@ -123,7 +165,7 @@
   }
 
   private void checkSuspension(long now) {
-    if (clock.wasSuspended(now, timeOfDay())) {
+    if (clock.wasSuspended(now, timeOfDay.getAsLong())) {
       Logger.warn("the process stood still; the lease is checked before anything is granted");
       leadership.onSuspended(now);
     }
@@ -138,7 +180,7 @@
   }
 
   private void call(Leadership.Action action) {
-    long sentAt = System.nanoTime();
+    long sentAt = now();
     switch (action) {
       case Leadership.Action.Claim a -> store.claim().thenAccept(result -> onClaim(sentAt, result));
       case Leadership.Action.Renew a ->
@@ -153,7 +195,7 @@
   private void onClaim(long sentAt, SharedStore.ClaimResult result) {
     Leadership.Lease lease = result.lease();
     if (lease == null) {
-      leadership.onClaimFailed(System.nanoTime());
+      leadership.onClaimFailed(now());
       return;
     }
     Optional<Leadership.Action> end = leadership.onClaimed(sentAt, lease);
@@ -168,7 +210,7 @@
       case DONE -> leadership.onRenewed(sentAt);
       case REFUSED -> {
         log.onTenureEnd("the lease has ended in the store");
-        leadership.onLost(System.nanoTime());
+        leadership.onLost(now());
         coordinator = null;
       }
       case UNKNOWN -> leadership.onRenewalUnknown();
@@ -186,7 +228,7 @@
         .thenAccept(
             result -> {
               isReading = false;
-              long now = System.nanoTime();
+              long now = now();
               if (result.known() && leadership.leads(now)) {
                 tableRevision = result.revision();
                 coordinator = RangeCoordinator.begin(result.table(), timing, log, now);
@@ -222,13 +264,13 @@
   }
 
   private void grant(RangeCoordinator c, RangeAction.Grant grant) {
-    long decidedAt = System.nanoTime();
+    long decidedAt = now();
     long leaseAge = leadership.sinceRenewal(decidedAt);
     orders
         .grant(grant.entry(), grant.holdNanos(), () -> mayOrder(c))
         .thenAccept(
             outcome -> {
-              long now = System.nanoTime();
+              long now = now();
               log.onGrant(grant.entry(), grant.holdNanos(), outcome, now - decidedAt, leaseAge);
               c.onGrant(now, grant.entry(), outcome);
             });
@@ -236,19 +278,19 @@
 
   /** Tells whether a coordinator's orders may be sent now, whenever they were decided. */
   private boolean mayOrder(RangeCoordinator c) {
-    long now = System.nanoTime();
+    long now = now();
     checkSuspension(now);
     return coordinator == c && leadership.leads(now);
   }
 
   private void release(RangeCoordinator c, RangeEntry entry) {
     onMoving.run();
-    long decidedAt = System.nanoTime();
+    long decidedAt = now();
     orders
         .release(entry, () -> mayOrder(c))
         .thenAccept(
             released -> {
-              long now = System.nanoTime();
+              long now = now();
               log.onRelease(entry, released, now - decidedAt);
               c.onRelease(now, entry, released.done(), released.handover());
             });
@@ -259,44 +301,57 @@
     if (lease == null) {
       return;
     }
-    long decidedAt = System.nanoTime();
+    long decidedAt = now();
     store
         .write(table, tableRevision, lease)
         .thenAccept(
             result -> {
-              log.onWrite(table, result.result(), System.nanoTime() - decidedAt);
+              log.onWrite(table, result.result(), now() - decidedAt);
               switch (result.result()) {
                 case DONE -> {
                   tableRevision = result.revision();
                   c.onWritten(table);
                 }
                 case REFUSED -> endTenure(c, "another table is in the store");
-                case UNKNOWN -> resolve(c, table);
+                case UNKNOWN -> lookUp = new LookUp(c, table, now());
                 default -> throw new IllegalArgumentException("unknown result: " + result);
               }
             });
   }
 
   /** Finds out whether a table was written whose write got no answer. */
-  private void resolve(RangeCoordinator c, RangeTable table) {
+  private void lookUpIfDue(long now) {
+    LookUp due = lookUp;
+    if (due == null || now - due.at() < 0) {
+      return;
+    }
+    lookUp = null;
+    if (coordinator == due.coordinator()) {
+      store
+          .readTable()
+          .thenAccept(found -> onLookedUp(due.coordinator(), due.table(), found, now() - now));
+    }
+  }
+
+  private void onLookedUp(
+      RangeCoordinator c, RangeTable table, SharedStore.TableResult found, long took) {
     if (coordinator != c) {
       return;
     }
-    store
-        .readTable()
-        .thenAccept(
-            found -> {
-              if (!found.known()) {
-                resolve(c, table);
-              } else if (isSame(found.table(), table)) {
-                tableRevision = found.revision();
-                c.onWritten(table);
-              } else if (found.revision() == tableRevision) {
-                c.onNotWritten();
-              } else {
-                endTenure(c, "another table was written meanwhile");
-              }
-            });
+    if (!found.known()) {
+      log.onLookUp(table, "unknown", took);
+      lookUp = new LookUp(c, table, now() + LOOK_UP_PAUSE);
+    } else if (isSame(found.table(), table)) {
+      log.onLookUp(table, "written", took);
+      tableRevision = found.revision();
+      c.onWritten(table);
+    } else if (found.revision() == tableRevision) {
+      log.onLookUp(table, "not_written", took);
+      c.onNotWritten();
+    } else {
+      log.onLookUp(table, "replaced", took);
+      endTenure(c, "another table was written meanwhile");
+    }
   }
 
   private void endTenure(RangeCoordinator c, String reason) {
@@ -310,7 +365,7 @@
     return a.version() == b.version() && a.entries().equals(b.entries());
   }
 
-  private static long timeOfDay() {
-    return TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis());
+  private long now() {
+    return steadyClock.getAsLong();
   }
 }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/OwnershipLog.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/OwnershipLog.java
@@ -101,6 +101,18 @@
         table.version(), table.entries().size(), table.lastFence(), result, millis(took));
   }
 
+  /**
+   * Takes the outcome of a look for a table whose write got no answer.
+   *
+   * @param outcome whether the store has the table, in a word
+   * @param took time from the call to its outcome
+   */
+  void onLookUp(RangeTable table, String outcome, long took) {
+    line(
+        "event=table_look_up table=%d outcome=%s took_ms=%d",
+        table.version(), outcome, millis(took));
+  }
+
   /**
    * Takes the outcome of a grant.
    *
--- /dev/null
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/coordination/CoordinationTest.java
@@ -0,0 +1,221 @@
+package org.cowslipmoor.daemon.coordination;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.notNullValue;
+import static org.hamcrest.Matchers.nullValue;
+
+import com.google.common.collect.ImmutableSet;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Queue;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.cowslipmoor.core.discovery.TargetDirectory;
+import org.cowslipmoor.core.discovery.TargetLife;
+import org.cowslipmoor.core.range.GrantOutcome;
+import org.cowslipmoor.core.range.KeyRange;
+import org.cowslipmoor.core.range.Leadership;
+import org.cowslipmoor.core.range.RangeEntry;
+import org.cowslipmoor.core.range.RangeTable;
+import org.cowslipmoor.core.range.RangeTiming;
+import org.cowslipmoor.core.range.ServiceLoad;
+import org.cowslipmoor.schema.fleet.StoreNews;
+import org.junit.jupiter.api.Test;
+
+final class CoordinationTest {
+  private static final long MS = 1_000_000L;
+  private static final long TICK = 20 * MS;
+  private static final long LEASE_MS = 1_500;
+  private static final long ORDER_MS = 600;
+  private static final SharedStore.TableResult NO_ANSWER =
+      new SharedStore.TableResult(false, RangeTable.empty(), 0);
+  private static final RangeTable TABLE =
+      RangeTable.of(
+          3,
+          7,
+          List.of(new RangeEntry("stock", KeyRange.ALL, new TargetLife("t", 1), "t:1", 7, null)));
+
+  private long now;
+  private final ScriptedStore store = new ScriptedStore();
+  private final Coordination coordination =
+      new Coordination(
+          store,
+          new SilentTargets(),
+          Leadership.create(LEASE_MS, new SplittableRandom(1)),
+          RangeTiming.standard(10_000, LEASE_MS, ORDER_MS),
+          () ->
+              new StoreView(
+                  null,
+                  TargetDirectory.empty(),
+                  RangeTable.empty(),
+                  0,
+                  ImmutableSet.of(),
+                  0,
+                  null,
+                  true,
+                  1),
+          unused -> ServiceLoad.even(),
+          () -> now,
+          () -> now);
+
+  /** A store that turns calls away is not called again at once: each call costs. */
+  @Test
+  void lostWriteIsNotLookedUpAgainWithoutPause() {
+    loseWrite();
+
+    store.reads.remove().complete(NO_ANSWER);
+
+    assertThat(store.writes, is(1));
+    assertThat(store.reads.size(), is(0));
+    run(Coordination.LOOK_UP_PAUSE - TICK);
+    assertThat(store.reads.size(), is(0));
+    run(TICK);
+    assertThat(store.reads.size(), is(1));
+    run(5 * Coordination.LOOK_UP_PAUSE);
+    assertThat(store.reads.size(), is(1));
+  }
+
+  @Test
+  void lostWriteIsLookedUpOnlyWhileTheLeaseIsTrusted() {
+    loseWrite();
+    store.renewal = SharedStore.CallResult.UNKNOWN;
+    run(LEASE_MS * MS);
+    assertThat(coordination.lease(), is(nullValue()));
+
+    store.reads.remove().complete(NO_ANSWER);
+    run(5 * Coordination.LOOK_UP_PAUSE);
+    assertThat(store.reads.size(), is(0));
+
+    store.renewal = SharedStore.CallResult.DONE;
+    run(Coordination.LOOK_UP_PAUSE);
+    assertThat(coordination.lease(), is(notNullValue()));
+    assertThat(store.reads.size(), is(1));
+  }
+
+  @Test
+  void lostWriteIsNotLookedUpOnceItsTenureHasEnded() {
+    loseWrite();
+    store.reads.remove().complete(NO_ANSWER);
+
+    coordination.resign();
+    run(5 * Coordination.LOOK_UP_PAUSE);
+
+    assertThat(store.reads.size(), is(0));
+  }
+
+  @Test
+  void tableThatTheLookUpFindsIsNotWrittenAgain() {
+    loseWrite();
+    store.reads.remove().complete(NO_ANSWER);
+    run(Coordination.LOOK_UP_PAUSE);
+
+    store.reads.remove().complete(new SharedStore.TableResult(true, store.written, 11));
+    run(5 * Coordination.LOOK_UP_PAUSE);
+
+    assertThat(coordination.tableVersion(), is(store.written.version()));
+    assertThat(store.writes, is(1));
+    assertThat(store.reads.size(), is(0));
+  }
+
+  /** Runs until a write of the table got no answer and the table is looked up. */
+  private void loseWrite() {
+    runUntilRead();
+    store.reads.remove().complete(new SharedStore.TableResult(true, TABLE, 9));
+    runUntilRead();
+  }
+
+  private void runUntilRead() {
+    long end = now + 10 * LEASE_MS * MS;
+    while (store.reads.isEmpty() && now < end) {
+      run(TICK);
+    }
+  }
+
+  private void run(long duration) {
+    for (long end = now + duration; now < end; ) {
+      now += TICK;
+      coordination.tick();
+    }
+  }
+
+  /** A store whose reads are answered by the test, and whose writes get no answer. */
+  private static final class ScriptedStore implements SharedStore {
+    final Queue<CompletableFuture<TableResult>> reads = new ArrayDeque<>();
+    CallResult renewal = CallResult.DONE;
+    RangeTable written = RangeTable.empty();
+    int writes;
+
+    @Override
+    public void follow(Consumer<StoreView> onChange) {}
+
+    @Override
+    public void setRelayed(boolean relayed) {}
+
+    @Override
+    public boolean isCurrent(long now) {
+      return true;
+    }
+
+    @Override
+    public StoreNews newsSince(long revision) {
+      return StoreNews.getDefaultInstance();
+    }
+
+    @Override
+    public void onRelayedNews(StoreNews news) {}
+
+    @Override
+    public CompletableFuture<ClaimResult> claim() {
+      return CompletableFuture.completedFuture(
+          new ClaimResult(CallResult.DONE, new Leadership.Lease(1, 2)));
+    }
+
+    @Override
+    public CompletableFuture<CallResult> renew(Leadership.Lease lease) {
+      return CompletableFuture.completedFuture(renewal);
+    }
+
+    @Override
+    public CompletableFuture<CallResult> end(Leadership.Lease lease) {
+      return CompletableFuture.completedFuture(CallResult.UNKNOWN);
+    }
+
+    @Override
+    public CompletableFuture<WriteResult> write(
+        RangeTable table, long revision, Leadership.Lease lease) {
+      writes++;
+      written = table;
+      return CompletableFuture.completedFuture(new WriteResult(CallResult.UNKNOWN, 0));
+    }
+
+    @Override
+    public CompletableFuture<WriteResult> writeMembers(
+        ImmutableSet<String> members, long revision, Leadership.Lease lease) {
+      return CompletableFuture.completedFuture(new WriteResult(CallResult.UNKNOWN, 0));
+    }
+
+    @Override
+    public CompletableFuture<TableResult> readTable() {
+      CompletableFuture<TableResult> read = new CompletableFuture<>();
+      reads.add(read);
+      return read;
+    }
+  }
+
+  /** Targets that never answer. */
+  private static final class SilentTargets implements TargetOrders {
+    @Override
+    public CompletableFuture<GrantOutcome> grant(
+        RangeEntry entry, long holdNanos, BooleanSupplier isWanted) {
+      return new CompletableFuture<>();
+    }
+
+    @Override
+    public CompletableFuture<Released> release(RangeEntry entry, BooleanSupplier isWanted) {
+      return new CompletableFuture<>();
+    }
+  }
+}
--- a/daemon/src/test/java/org/cowslipmoor/daemon/coordination/OwnershipLogTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/coordination/OwnershipLogTest.java
@@ -34,6 +34,7 @@
     log.onTenure(table, new Leadership.Lease(11, 12));
     log.onLease(false, 800 * MS);
     log.onWrite(table, SharedStore.CallResult.UNKNOWN, 9 * MS);
+    log.onLookUp(table, "not_written", 3 * MS);
     log.onGrant(ENTRY, HOLD, GrantOutcome.UNKNOWN, 600 * MS, 100 * MS);
     log.onRelease(ENTRY, new TargetOrders.Released(true, "x"), 40 * MS);
     log.onReassigned(
@@ -48,6 +49,7 @@
             "event=tenure_begin table=3 ranges=1 last_fence=7 lease=11 term=12",
             "event=lease certain=false renewed_ago_ms=800",
             "event=table_write table=3 ranges=1 last_fence=7 result=UNKNOWN took_ms=9",
+            "event=table_look_up table=3 outcome=not_written took_ms=3",
             "event=grant " + entry + " hold_ms=3000 outcome=UNKNOWN took_ms=600 lease_age_ms=100",
             "event=release " + entry + " done=true handover=true took_ms=40",
             "event=reassign "
