Give a sole target its keys back once they are free

The keys of a service with one target stayed without an owner for the rest of a tenure after the target's entry had been away, or the target out of reach, for a few seconds. Cause: a target whose entry vanishes is asked to release its keys. A released holding counts as leaving, and a leaving one was given only to another target. The same holds for a target whose grants have lapsed: it is granted nothing any more. Class of fault: a state that only an event leaves which may never come. Evidence: soleTargetHoldsItsKeysAgainOnceItsEntryIsBack; before, servedShare Expected: is <1.0> but: was <0.0> soleTargetHoldsItsKeysAgainOnceItIsInReach; before, the last grant that was accepted in 50 s: Expected: a value equal to or greater than <47000000000L> but: <19250000000L> was less than <47000000000L> Both pass after, and so does RangeOwnershipProperties. Change: with no other usable target, keys that are free go to their former owner under a higher fence. One that stays out of reach costs a write of the table each time that it is lost, 3.8 s after the last one at the earliest.

--- a/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
@@ -368,12 +368,14 @@
       return Optional.of(wanted);
     }
     String service = h.entry.service();
+    ImmutableList<DiscoveredTarget> usable = inputs.directory().usable(service);
     ImmutableList<DiscoveredTarget> targets =
-        inputs.directory().usable(service).stream()
+        usable.stream()
             .filter(t -> !t.life().equals(h.entry.owner()))
             .collect(ImmutableList.toImmutableList());
     if (targets.isEmpty()) {
-      return Optional.empty();
+      // The owner is the only one, if any.
+      return usable.stream().findFirst();
     }
     List<RangeEntry> others =
         holdings.stream()
--- a/core/src/test/java/org/cowslipmoor/core/range/RangeCoordinatorTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/RangeCoordinatorTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
@@ -141,6 +142,60 @@
     assertThat(grantedOnAt, lessThan(20_000 * MS));
   }
 
+  @Test
+  void soleTargetHoldsItsKeysAgainOnceItsEntryIsBack() {
+    RangeWorld world = new RangeWorld(1, 1, 0, 1);
+    world.run(3_000 * RangeWorld.MS);
+    assertThat(world.servedShare(), is(1.0));
+    world.vanish("t0");
+    world.run(1_000 * RangeWorld.MS);
+    world.reappear("t0");
+
+    world.run(30_000 * RangeWorld.MS);
+
+    assertThat(world.servedShare(), is(1.0));
+    assertThat(world.violations(), is(empty()));
+  }
+
+  /** A target that is out of reach for longer than its hold lets its keys lapse. */
+  @Test
+  void soleTargetHoldsItsKeysAgainOnceItIsInReach() {
+    soleTargetHoldsItsKeysAgain(20_000 * MS, GrantOutcome.NOT_SENT);
+    soleTargetHoldsItsKeysAgain(20_000 * MS, GrantOutcome.UNKNOWN);
+    soleTargetHoldsItsKeysAgain(0, GrantOutcome.NOT_SENT);
+    soleTargetHoldsItsKeysAgain(0, GrantOutcome.UNKNOWN);
+  }
+
+  private void soleTargetHoldsItsKeysAgain(long cutOffAt, GrantOutcome whileCutOff) {
+    long backAt = cutOffAt + 20_000 * MS;
+    long end = backAt + 10_000 * MS;
+    RangeCoordinator coordinator = begin(stored(), RangeListener.NONE, 0);
+    long acceptedAt = 0;
+    int writes = 0;
+    for (long now = 0; now < end; now += TICK) {
+      boolean isInReach = now < cutOffAt || now >= backAt;
+      for (RangeAction action : coordinator.tick(now, inputs(directory(OWNER)))) {
+        switch (action) {
+          case RangeAction.Write a -> {
+            writes++;
+            coordinator.onWritten(a.table());
+          }
+          case RangeAction.Release a -> coordinator.onRelease(now, a.entry(), isInReach, null);
+          case RangeAction.Grant a -> {
+            acceptedAt = isInReach ? now : acceptedAt;
+            coordinator.onGrant(now, a.entry(), isInReach ? GrantOutcome.ACCEPTED : whileCutOff);
+          }
+        }
+      }
+    }
+
+    assertThat(acceptedAt, greaterThanOrEqualTo(end - timing.hold()));
+    // A write costs: at the begin, and not more often than the target is lost.
+    assertThat(
+        writes,
+        lessThanOrEqualTo(2 + (int) ((backAt - cutOffAt) / (timing.hold() + timing.renewal()))));
+  }
+
   private static RangeTable stored() {
     RangeEntry held = new RangeEntry(SERVICE, KeyRange.ALL, OWNER.life(), OWNER.address(), 7, null);
     return RangeTable.of(3, 7, List.of(held));
