Test that Coordination ends a lease that is claimed after resigning

LeadershipTest holds that the call is asked for; this holds that it is made. Without it, claimAnsweredAfterResigningIsEndedAtOnce fails: Expected: is <[Lease[id=1, term=2]]> but: was <[]>

--- a/daemon/src/test/java/org/cowslipmoor/daemon/coordination/CoordinationTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/coordination/CoordinationTest.java
@@ -1,12 +1,14 @@
 package org.cowslipmoor.daemon.coordination;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.notNullValue;
 import static org.hamcrest.Matchers.nullValue;
 
 import com.google.common.collect.ImmutableSet;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
 import java.util.SplittableRandom;
@@ -30,6 +32,7 @@
   private static final long TICK = 20 * MS;
   private static final long LEASE_MS = 1_500;
   private static final long ORDER_MS = 600;
+  private static final Leadership.Lease LEASE = new Leadership.Lease(1, 2);
   private static final SharedStore.TableResult NO_ANSWER =
       new SharedStore.TableResult(false, RangeTable.empty(), 0);
   private static final RangeTable TABLE =
@@ -120,6 +123,21 @@
     assertThat(store.reads.size(), is(0));
   }
 
+  /** A lease that nobody ends keeps the other hosts from claiming until it lapses. */
+  @Test
+  void claimAnsweredAfterResigningIsEndedAtOnce() {
+    CompletableFuture<SharedStore.ClaimResult> claim = new CompletableFuture<>();
+    store.claim = claim;
+    run(LEASE_MS * MS);
+
+    coordination.resign();
+    assertThat(store.ended, is(empty()));
+    claim.complete(new SharedStore.ClaimResult(SharedStore.CallResult.DONE, LEASE));
+
+    assertThat(store.ended, is(List.of(LEASE)));
+    assertThat(coordination.lease(), is(nullValue()));
+  }
+
   /** Runs until a write of the table got no answer and the table is looked up. */
   private void loseWrite() {
     runUntilRead();
@@ -144,6 +162,9 @@
   /** A store whose reads are answered by the test, and whose writes get no answer. */
   private static final class ScriptedStore implements SharedStore {
     final Queue<CompletableFuture<TableResult>> reads = new ArrayDeque<>();
+    final List<Leadership.Lease> ended = new ArrayList<>();
+    CompletableFuture<ClaimResult> claim =
+        CompletableFuture.completedFuture(new ClaimResult(CallResult.DONE, LEASE));
     CallResult renewal = CallResult.DONE;
     RangeTable written = RangeTable.empty();
     int writes;
@@ -169,8 +190,7 @@
 
     @Override
     public CompletableFuture<ClaimResult> claim() {
-      return CompletableFuture.completedFuture(
-          new ClaimResult(CallResult.DONE, new Leadership.Lease(1, 2)));
+      return claim;
     }
 
     @Override
@@ -180,6 +200,7 @@
 
     @Override
     public CompletableFuture<CallResult> end(Leadership.Lease lease) {
+      ended.add(lease);
       return CompletableFuture.completedFuture(CallResult.UNKNOWN);
     }
 
