--- a/core/src/test/java/org/cowslipmoor/core/range/RangeCoordinatorTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/RangeCoordinatorTest.java
@@ -203,7 +203,7 @@
   @Tag("known-red")
   @ParameterizedTest
   @ValueSource(longs = {1_600, 2_000, 3_000})
-  void keysOfADrainingOwnerMoveAlthoughTenuresAreShort(long tenureMillis) {
+  void keysOfDrainingOwnerMoveAlthoughTenuresAreShort(long tenureMillis) {
     RangeTable table = stored();
     for (long begin = 0; begin < 40_000 * MS; begin += tenureMillis * MS) {
       RangeCoordinator coordinator = begin(table, RangeListener.NONE, begin);
@@ -244,7 +244,7 @@
   @Tag("known-red")
   @ParameterizedTest
   @ValueSource(longs = {1_400, 1_600, 3_000})
-  void keysOfALostOwnerAreServedAgainAlthoughTenuresAreShort(long tenureMillis) {
+  void keysOfLostOwnerAreServedAgainAlthoughTenuresAreShort(long tenureMillis) {
     RangeTable table = stored();
     for (long begin = 0; begin < 40_000 * MS; begin += tenureMillis * MS) {
       RangeCoordinator coordinator = begin(table, RangeListener.NONE, begin);
--- a/testing/src/test/java/org/cowslipmoor/testing/control/ControlWorldTest.java
+++ b/testing/src/test/java/org/cowslipmoor/testing/control/ControlWorldTest.java
@@ -77,7 +77,7 @@
   }
 
   @Test
-  void coordinatorThatOnlyATargetAndTheStoreReachKeepsOneOwnerAfterItsLease() {
+  void coordinatorThatOnlyOneTargetAndTheStoreReachKeepsOneOwnerAfterItsLease() {
     for (long seed = 180; seed < 200; seed++) {
       assertThat("seed " + seed, violationsAfterLease(seed, false), is(empty()));
     }
