--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
@@ -45,6 +45,7 @@
   private final Supplier<HostReport> report;
   private final Consumer<FleetState> onFleet;
   private final MemberLinks links;
+  private final RelayLog log = new RelayLog(System.nanoTime());
   private final FleetAggregator aggregator = FleetAggregator.create(System.nanoTime());
   private @Nullable Membership membership;
   private boolean isWritingMembers;
@@ -97,6 +98,8 @@
       decideMembers();
       broadcast();
       relayLateNews();
+      long now = System.nanoTime();
+      log.tick(now, aggregator.hosts(now).size(), links.unsentBytes());
       return;
     }
     membership = null;
@@ -202,6 +205,7 @@
     for (String other : aggregator.hosts(now).keySet()) {
       if (!other.equals(host)) {
         links.send(other, frame);
+        log.onState(frame.getSerializedSize());
       }
     }
     onFleet.accept(state);
@@ -229,7 +233,9 @@
         .forEach(
             (other, known) -> {
               if (!other.equals(host) && known < revision) {
-                links.send(other, frames.computeIfAbsent(known, this::news));
+                Envelope frame = frames.computeIfAbsent(known, this::news);
+                links.send(other, frame);
+                log.onNews(frame.getSerializedSize());
               }
             });
   }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
@@ -21,6 +21,7 @@
 import org.cowslipmoor.core.routing.SplitSelector;
 import org.cowslipmoor.daemon.coordination.StoreView;
 import org.cowslipmoor.daemon.http.HttpConnections;
+import org.tinylog.Logger;
 
 /** What the requests of one host share. Confined to the host's event loop. */
 public final class Gateway {
@@ -42,6 +43,7 @@
   private final MetricRegistry metrics;
   private final RetryLimits retryLimits;
   private final Map<String, RetryBudget> budgets = new HashMap<>();
+  private final RetryCounts retryCounts = new RetryCounts(System.nanoTime());
   private final Map<String, Long> drainingSince = new HashMap<>();
   private final CallerConnections callers = new CallerConnections();
   private FleetState fleet = FleetState.UNKNOWN;
@@ -130,6 +132,7 @@
   /** Notes by how many nanoseconds a periodic task came too late. */
   public void onLag(long nanos, long now) {
     if (nanos >= LARGEST_LAG) {
+      Logger.info("event=lag late_by_ms={}", TimeUnit.NANOSECONDS.toMillis(nanos));
       laggingUntil = now + LAG_MEMORY;
     }
   }
@@ -221,7 +224,25 @@
     return keyCounts;
   }
 
-  RetryBudget budget(String service) {
+  /** Notes a request's first attempt. */
+  void onRequest(String service) {
+    retryCounts.onRequest(service);
+    budget(service).onRequest();
+  }
+
+  /** Takes one retry from the service's budget; returns whether there was one. */
+  boolean tryRetry(String service) {
+    boolean allowed = budget(service).tryRetry();
+    retryCounts.onRetry(service, allowed);
+    return allowed;
+  }
+
+  /** Writes the log lines that are due. */
+  public void tick(long now) {
+    retryCounts.tick(now);
+  }
+
+  private RetryBudget budget(String service) {
     return budgets.computeIfAbsent(
         service, unused -> RetryBudget.of(retryLimits.share(), retryLimits.reserve()));
   }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
@@ -140,7 +140,7 @@
     objectiveAt = startedAt + found.objectiveMillis() * MS;
     deadlineTimer =
         ctx.eventLoop().withoutContext().schedule(this::onDeadline, wait, TimeUnit.MILLISECONDS);
-    gateway.budget(service).onRequest();
+    gateway.onRequest(service);
     ServiceDescription description = configuration.services().get(service);
     if (description != null && description.keyed() && told.key() != null) {
       gateway.keyCounts().count(service, told.key());
@@ -298,8 +298,7 @@
 
   /** Tells whether the request is to be sent again, and if so takes that from the budget, once. */
   boolean mayRetry(Attempt failed, long now) {
-    retryGranted =
-        retryGranted || (isRetryUseful(failed, now) && gateway.budget(service).tryRetry());
+    retryGranted = retryGranted || (isRetryUseful(failed, now) && gateway.tryRetry(service));
     return retryGranted;
   }
 
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -235,6 +235,7 @@
     long now = System.nanoTime();
     gateway.onLag(now - lastTickAt - TimeUnit.MILLISECONDS.toNanos(TICK_MS), now);
     lastTickAt = now;
+    gateway.tick(now);
     coordination.tick();
     store.setRelayed(
         gateway.fleet().relaysStore()
--- a/daemon/src/main/java/org/cowslipmoor/daemon/member/MemberLinks.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/member/MemberLinks.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -158,6 +159,17 @@
     return framesSent.get();
   }
 
+  /** Returns the bytes that wait to be sent, of the links of the calling event loop. */
+  public long unsentBytes() {
+    long bytes = 0;
+    for (Channel c : channels.values()) {
+      ChannelOutboundBuffer buffer =
+          c.eventLoop().inEventLoop() ? c.unsafe().outboundBuffer() : null;
+      bytes += buffer == null ? 0 : buffer.totalPendingWriteBytes();
+    }
+    return bytes;
+  }
+
   @Override
   public void close() {
     channels.values().forEach(Channel::close);
