Let the retries of all hosts add up to the users' bound, however many hosts

What callers saw: BUDGET on grown sites; 960 arrivals beyond the first in 10 s at a service, where 874 are allowed for its 3,031 requests. Cause: each host's reserve was the slack x 0.7 / 26, a size of the fleet that was written into the code, and began full. 102 hosts had 736 retries in reserve and earned 424 more in the reported window: 1,160. Class of fault: a constant that holds the size of today's fleet. Evidence: SharedRetryBudgetProperties runs 1 to 1,000 hosts through failures of all targets, traffic that moves between halves of the fleet, and restarts. With the former rule the worst window exceeds the bound by 305 retries on 102 hosts and by 803 on 1,000. With the change by none, in 60 tries, and in a trial of 1,500. A part that no host can use would be a fault as well: with 5% of the requests failing, more than half of the retries are made at every size (200 tries), and more than two fifths of the share while all targets fail. Why it works: a retry that is made was earned in the window, or saved before it. Savings are a part of the slack as long as each host can save one retry; in a larger fleet they lapse after a window, so that they never exceed what a window of requests earns, and the share is lowered by that. A host that starts has a part of a retry, not a full reserve. The size of the fleet is the largest number of members or reporting hosts that was told in 20 to 40 s.

--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
@@ -12,11 +12,12 @@
 import org.cowslipmoor.core.admission.TargetBook;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.discovery.TargetDirectory;
+import org.cowslipmoor.core.fleet.FleetSize;
 import org.cowslipmoor.core.fleet.FleetState;
 import org.cowslipmoor.core.range.KeyCounts;
 import org.cowslipmoor.core.range.RangeEntry;
 import org.cowslipmoor.core.request.ResultCode;
-import org.cowslipmoor.core.request.RetryBudget;
+import org.cowslipmoor.core.request.SharedRetryBudget;
 import org.cowslipmoor.core.routing.RoutingConfiguration;
 import org.cowslipmoor.core.routing.SplitSelector;
 import org.cowslipmoor.daemon.coordination.StoreView;
@@ -41,8 +42,10 @@
   private final SplitSelector splits;
   private final KeyCounts keyCounts;
   private final MetricRegistry metrics;
-  private final RetryLimits retryLimits;
-  private final Map<String, RetryBudget> budgets = new HashMap<>();
+  private final SharedRetryBudget.Terms retryTerms;
+  private final RandomGenerator random;
+  private final FleetSize fleetSize = FleetSize.create(System.nanoTime());
+  private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
   private final RetryCounts retryCounts = new RetryCounts(System.nanoTime());
   private final Map<String, Long> drainingSince = new HashMap<>();
   private final CallerConnections callers = new CallerConnections();
@@ -53,14 +56,6 @@
   private int inProgress;
   private long laggingUntil = System.nanoTime() + LAG_MEMORY;
 
-  /**
-   * Bounds this host's part of the retries to each service.
-   *
-   * @param share retries per request in the long run
-   * @param reserve most retries that may be saved up
-   */
-  public record RetryLimits(double share, double reserve) {}
-
   /** Creates the shared state of a host's requests. */
   public Gateway(
       Supplier<StoreView> view,
@@ -68,7 +63,7 @@
       Dialect dialect,
       TargetBook book,
       KeyCounts keyCounts,
-      RetryLimits retryLimits,
+      SharedRetryBudget.Terms retryTerms,
       RandomGenerator random,
       MetricRegistry metrics) {
     this.view = view;
@@ -77,7 +72,8 @@
     this.book = book;
     this.splits = SplitSelector.create(random);
     this.keyCounts = keyCounts;
-    this.retryLimits = retryLimits;
+    this.retryTerms = retryTerms;
+    this.random = random;
     this.metrics = metrics;
     gauge(GatewayMetric.IN_PROGRESS, () -> inProgress);
     gauge(GatewayMetric.RANGE_TABLE, () -> view.get().table().version());
@@ -89,6 +85,7 @@
   public void onView(StoreView newView, long now) {
     Map<String, DiscoveredTarget> all = newView.directory().all();
     book.retain(all.keySet());
+    fleetSize.onCount(newView.members().size(), now);
     drainingSince.keySet().retainAll(all.keySet());
     for (DiscoveredTarget t : all.values()) {
       if (t.draining()) {
@@ -103,6 +100,7 @@
   public void onFleet(FleetState newState, long now) {
     fleet = newState;
     book.onFleet(newState, now);
+    fleetSize.onCount(newState.hosts(), now);
   }
 
   /** Returns what all hosts together have seen, as it was last told. */
@@ -225,14 +223,14 @@
   }
 
   /** Notes a request's first attempt. */
-  void onRequest(String service) {
+  void onRequest(String service, long now) {
     retryCounts.onRequest(service);
-    budget(service).onRequest();
+    budget(service, now).onRequest(now);
   }
 
   /** Takes one retry from the service's budget; returns whether there was one. */
-  boolean tryRetry(String service) {
-    boolean allowed = budget(service).tryRetry();
+  boolean tryRetry(String service, long now) {
+    boolean allowed = budget(service, now).tryRetry(now);
     retryCounts.onRetry(service, allowed);
     return allowed;
   }
@@ -242,9 +240,13 @@
     retryCounts.tick(now);
   }
 
-  private RetryBudget budget(String service) {
-    return budgets.computeIfAbsent(
-        service, unused -> RetryBudget.of(retryLimits.share(), retryLimits.reserve()));
+  private SharedRetryBudget budget(String service, long now) {
+    int hosts = fleetSize.hosts(now);
+    SharedRetryBudget budget =
+        budgets.computeIfAbsent(
+            service, unused -> SharedRetryBudget.create(retryTerms, hosts, random, now));
+    budget.onHosts(hosts);
+    return budget;
   }
 
   void count(GatewayMetric metric) {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
@@ -140,7 +140,7 @@
     objectiveAt = startedAt + found.objectiveMillis() * MS;
     deadlineTimer =
         ctx.eventLoop().withoutContext().schedule(this::onDeadline, wait, TimeUnit.MILLISECONDS);
-    gateway.onRequest(service);
+    gateway.onRequest(service, startedAt);
     ServiceDescription description = configuration.services().get(service);
     if (description != null && description.keyed() && told.key() != null) {
       gateway.keyCounts().count(service, told.key());
@@ -298,7 +298,7 @@
 
   /** Tells whether the request is to be sent again, and if so takes that from the budget, once. */
   boolean mayRetry(Attempt failed, long now) {
-    retryGranted = retryGranted || (isRetryUseful(failed, now) && gateway.tryRetry(service));
+    retryGranted = retryGranted || (isRetryUseful(failed, now) && gateway.tryRetry(service, now));
     return retryGranted;
   }
 
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -22,6 +22,7 @@
 import org.cowslipmoor.core.range.Leadership;
 import org.cowslipmoor.core.range.RangeTiming;
 import org.cowslipmoor.core.range.ServiceLoad;
+import org.cowslipmoor.core.request.SharedRetryBudget;
 import org.cowslipmoor.daemon.coordination.Coordination;
 import org.cowslipmoor.daemon.coordination.FleetExchange;
 import org.cowslipmoor.daemon.coordination.SharedStore;
@@ -58,12 +59,6 @@
    */
   private static final long OPENING_MS = 2_500;
 
-  /** Hosts that share the retries and the targets' connections, at most. */
-  private static final int LARGEST_FLEET = 26;
-
-  /** Part of the shared retries that the hosts use, as a reserve for those at a window's edge. */
-  private static final double RETRY_PART = 0.7;
-
   /** Most requests of one host at one target. */
   private static final int CONNECTION_SHARE = 8;
 
@@ -111,12 +106,13 @@
     HttpConnections connections = new HttpConnections(loop, CONNECT_TIMEOUT, IDLE_LIMIT);
     book = TargetBook.create(settings.dataCentre(), CONNECTION_SHARE, random);
     keyCounts = new KeyCounts();
-    Gateway.RetryLimits limits =
-        new Gateway.RetryLimits(
-            settings.retryShare() * RETRY_PART,
-            Math.max(1, settings.retryReserve() * RETRY_PART / LARGEST_FLEET));
+    SharedRetryBudget.Terms retries =
+        new SharedRetryBudget.Terms(
+            settings.retryShare(),
+            settings.retryReserve(),
+            TimeUnit.MILLISECONDS.toNanos(settings.retryWindowMillis()));
     gateway =
-        new Gateway(() -> view, connections, dialect, book, keyCounts, limits, random, metrics);
+        new Gateway(() -> view, connections, dialect, book, keyCounts, retries, random, metrics);
     coordination =
         new Coordination(
             store,
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewaySettings.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewaySettings.java
@@ -15,8 +15,9 @@
  * @param leaseMillis duration of the coordinator's lease in milliseconds
  * @param longestHoldMillis longest hold of a grant in milliseconds
  * @param graceMillis milliseconds between the request to stop and the end at the latest
- * @param retryShare retries to a service per request for it, over all hosts
- * @param retryReserve retries to a service beyond that share, over all hosts
+ * @param retryShare retries to a service per request for it in a window, over all hosts
+ * @param retryReserve retries to a service in a window beyond that share, over all hosts
+ * @param retryWindowMillis length of a window in milliseconds
  */
 public record GatewaySettings(
     String host,
@@ -30,7 +31,8 @@
     long longestHoldMillis,
     long graceMillis,
     double retryShare,
-    double retryReserve) {
+    double retryReserve,
+    long retryWindowMillis) {
 
   /** Checks the durations. */
   public GatewaySettings {
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/GatewayTest.java
@@ -174,7 +174,8 @@
             10_000,
             600,
             0.2,
-            100);
+            100,
+            10_000);
     host =
         GatewayHost.start(
             settings,
--- a/deploy/training/TrainingPlatform.java
+++ b/deploy/training/TrainingPlatform.java
@@ -107,6 +107,7 @@
         grace_s = 2
         budget_ratio = 0.1
         budget_slack = 10
+        budget_window_s = 10
         hold_max_ms = 10000
         """
             .formatted(ip, front, ready, links, store.getAddress().getPort()));
