Divide a target's connections among the hosts that there are

What callers would see: targets that reset connections beyond their limit, once hosts are many and busy. Cause: each host kept to 8 requests at a target, whatever the size of the fleet. On the grown sites 102 hosts may hold 816 connections at a target that accepts 701. Evidence: by arithmetic and TargetBookTest.hostsTogetherStayBelow..., which the former number fails for 102 hosts and more (8 x 102 > 701). Change: a host's share is 0.9 of the limit that the configuration tells, divided by the hosts, from 1 to 8. Beyond 630 hosts at 701 connections each host still has one; that hosts share connections then is not built.

--- a/core/src/main/java/org/cowslipmoor/core/admission/TargetBook.java
+++ b/core/src/main/java/org/cowslipmoor/core/admission/TargetBook.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkArgument;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Maps;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -68,20 +69,25 @@
   /** Time after which an objective that was not seen again no longer bounds the queues. */
   private static final long OBJECTIVE_MEMORY = 3_000 * MS;
 
+  /** Part of a target's connections that the hosts use; some are being closed or not known of. */
+  private static final double CONNECTION_PART = 0.9;
+
+  /** Most requests of one host at one target. */
+  private static final int LARGEST_SHARE = 8;
+
   private static final long LEAST_RETRY = 100 * MS;
   private static final double LARGEST_EJECTED_SHARE = 1.0 / 3;
 
   private final String dataCentre;
   private final RandomGenerator random;
-  private final int connectionShare;
   private final TargetHealth health = TargetHealth.create(LARGEST_EJECTED_SHARE);
   private final Map<String, Seen> seen = new HashMap<>();
   private final Map<String, ServiceMeans> means = new HashMap<>();
   private int hosts = 1;
+  private ImmutableMap<String, Integer> connectionShares = ImmutableMap.of();
 
-  private TargetBook(String dataCentre, int connectionShare, RandomGenerator random) {
+  private TargetBook(String dataCentre, RandomGenerator random) {
     this.dataCentre = dataCentre;
-    this.connectionShare = connectionShare;
     this.random = random;
   }
 
@@ -89,12 +95,26 @@
    * Creates a book without any knowledge.
    *
    * @param dataCentre the host's own data centre
-   * @param connectionShare most requests of this host at one target at the same time, at least 1
    * @param random breaks ties
    */
-  public static TargetBook create(String dataCentre, int connectionShare, RandomGenerator random) {
-    checkArgument(connectionShare >= 1, "connectionShare must be at least 1");
-    return new TargetBook(dataCentre, connectionShare, random);
+  public static TargetBook create(String dataCentre, RandomGenerator random) {
+    return new TargetBook(dataCentre, random);
+  }
+
+  /**
+   * Takes how many connections each target of a service accepts from all hosts together, and the
+   * number of hosts that share them, at least 1.
+   */
+  public void onConnectionLimits(ImmutableMap<String, Integer> limits, int sharingHosts) {
+    checkArgument(sharingHosts >= 1, "hosts must be at least 1, but are %s", sharingHosts);
+    connectionShares =
+        ImmutableMap.copyOf(
+            Maps.transformValues(
+                limits,
+                limit -> {
+                  int share = (int) (limit * CONNECTION_PART) / sharingHosts;
+                  return Math.max(1, Math.min(LARGEST_SHARE, share));
+                }));
   }
 
   /** Places a request on one of several targets. */
@@ -293,7 +313,7 @@
   }
 
   private boolean hasRoom(DiscoveredTarget target, long now) {
-    return of(target).inFlight < connectionShare
+    return of(target).inFlight < connectionShares.getOrDefault(target.service(), LARGEST_SHARE)
         && load(target, now) < target.slots() * (1 + QUEUE_PER_SLOT);
   }
 
--- a/core/src/test/java/org/cowslipmoor/core/admission/TargetBookTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/admission/TargetBookTest.java
@@ -15,13 +15,15 @@
 import org.cowslipmoor.core.discovery.TargetLife;
 import org.cowslipmoor.core.fleet.FleetState;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 final class TargetBookTest {
   private static final long MS = 1_000_000L;
   private static final long NOW = 1_000 * MS;
   private static final RequestNeeds NEEDS = new RequestNeeds(200 * MS, 1_000 * MS, 1);
 
-  private final TargetBook book = TargetBook.create("cairo", 8, new SplittableRandom(1));
+  private final TargetBook book = TargetBook.create("cairo", new SplittableRandom(1));
 
   private static DiscoveredTarget target(String id, String dataCentre) {
     return new DiscoveredTarget(
@@ -45,6 +47,22 @@
     return ((Placement.Send) p).target().id();
   }
 
+  /** Answers fleets whose hosts together would open more connections than a target accepts. */
+  @ParameterizedTest
+  @CsvSource({"232, 19", "701, 102", "701, 1000", "701, 4700"})
+  void hostsTogetherStayBelowTheConnectionsOfTargetWhileTheyCan(int limit, int hosts) {
+    DiscoveredTarget wide =
+        new DiscoveredTarget(new TargetLife("t", 1), "sheets", "t:1", "cairo", 100, false, 0);
+    book.onConnectionLimits(ImmutableMap.of("sheets", limit), hosts);
+    int sent = 0;
+    while (sent < limit && book.admit(wide, NEEDS, NOW) instanceof Placement.Send) {
+      book.onSend(wide, NOW);
+      sent++;
+    }
+    assertThat(sent, greaterThanOrEqualTo(1));
+    assertThat(sent == 1 || sent * hosts <= limit, is(true));
+  }
+
   @Test
   void fasterTargetIsPreferred() {
     fleet("slow", 0, 90);
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
@@ -2,7 +2,9 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Maps;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -19,6 +21,7 @@
 import org.cowslipmoor.core.request.ResultCode;
 import org.cowslipmoor.core.request.SharedRetryBudget;
 import org.cowslipmoor.core.routing.RoutingConfiguration;
+import org.cowslipmoor.core.routing.ServiceDescription;
 import org.cowslipmoor.core.routing.SplitSelector;
 import org.cowslipmoor.daemon.coordination.StoreView;
 import org.cowslipmoor.daemon.http.HttpConnections;
@@ -86,6 +89,7 @@
     Map<String, DiscoveredTarget> all = newView.directory().all();
     book.retain(all.keySet());
     fleetSize.onCount(newView.members().size(), now);
+    shareConnections(now);
     drainingSince.keySet().retainAll(all.keySet());
     for (DiscoveredTarget t : all.values()) {
       if (t.draining()) {
@@ -101,6 +105,17 @@
     fleet = newState;
     book.onFleet(newState, now);
     fleetSize.onCount(newState.hosts(), now);
+    shareConnections(now);
+  }
+
+  private void shareConnections(long now) {
+    RoutingConfiguration configuration = view.get().configuration();
+    if (configuration != null) {
+      book.onConnectionLimits(
+          ImmutableMap.copyOf(
+              Maps.transformValues(configuration.services(), ServiceDescription::connectionLimit)),
+          fleetSize.hosts(now));
+    }
   }
 
   /** Returns what all hosts together have seen, as it was last told. */
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -59,9 +59,6 @@
    */
   private static final long OPENING_MS = 2_500;
 
-  /** Most requests of one host at one target. */
-  private static final int CONNECTION_SHARE = 8;
-
   /** Time for which the balancer may still send new connections to a host that is not ready. */
   private static final long BALANCER_LAG_MS = 2_800;
 
@@ -104,7 +101,7 @@
     this.store = store;
     MetricRegistry metrics = new MetricRegistry();
     HttpConnections connections = new HttpConnections(loop, CONNECT_TIMEOUT, IDLE_LIMIT);
-    book = TargetBook.create(settings.dataCentre(), CONNECTION_SHARE, random);
+    book = TargetBook.create(settings.dataCentre(), random);
     keyCounts = new KeyCounts();
     SharedRetryBudget.Terms retries =
         new SharedRetryBudget.Terms(
