Do not take a refusal that a target writes once more for a request's answer

Cause: an answer was told apart by the id alone, where two answers can bear the same id or none. Change: a request goes to a target that it was sent to before on a new connection, where nothing earlier can come; a refusal without an id counts on a connection's first exchange only. Otherwise it is skipped, and the connection is not used again. Cost: a new connection for each request that is sent to a target again.

--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Attempt.java
@@ -44,6 +44,7 @@
   private final Gateway gateway;
   private final DiscoveredTarget target;
   private final long expectedNanos;
+  private final boolean isRepeated;
   private final long startedAt = System.nanoTime();
   private @Nullable Exchange exchange;
   private @Nullable AnswerRelay relay;
@@ -58,16 +59,31 @@
   private long headAt;
   private String outcome = "no answer yet";
 
-  Attempt(GatewayExchange owner, Gateway gateway, DiscoveredTarget target, long expectedNanos) {
+  /**
+   * Creates an attempt that has not started.
+   *
+   * @param isRepeated whether the request was sent to this target before
+   */
+  Attempt(
+      GatewayExchange owner,
+      Gateway gateway,
+      DiscoveredTarget target,
+      long expectedNanos,
+      boolean isRepeated) {
     this.owner = owner;
     this.gateway = gateway;
     this.target = target;
     this.expectedNanos = expectedNanos;
+    this.isRepeated = isRepeated;
   }
 
   void start() {
     gateway.book().onSend(target, startedAt);
-    Exchange e = gateway.connections().start(target.address(), outgoing(), this);
+    // A kept connection may bring an answer to the earlier sending once more, with the same id.
+    Exchange e =
+        isRepeated
+            ? gateway.connections().startOnNew(target.address(), outgoing(), this)
+            : gateway.connections().start(target.address(), outgoing(), this);
     exchange = e;
     if (over) {
       return;
@@ -133,7 +149,11 @@
   public boolean onHead(HttpResponse head) {
     AnswerHead a = gateway.dialect().readAnswer(head);
     String id = a.requestId();
-    boolean ours = id == null ? a.isNotRun() : id.equals(owner.requestId());
+    // Without an id, a refusal on a kept connection may be an earlier request's.
+    boolean ours =
+        id == null
+            ? a.isNotRun() && !exchange().isOnKeptConnection()
+            : id.equals(owner.requestId());
     if (!ours || over) {
       return false;
     }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
@@ -252,9 +252,9 @@
   private void send(Placement placement) {
     switch (placement) {
       case Placement.Send p -> {
-        triedTargets.add(p.target().id());
+        boolean isRepeated = !triedTargets.add(p.target().id());
         sendings++;
-        attempt = new Attempt(this, gateway, p.target(), p.expectedNanos());
+        attempt = new Attempt(this, gateway, p.target(), p.expectedNanos(), isRepeated);
         attempt.start();
       }
       case Placement.Refuse p ->
--- a/daemon/src/main/java/org/cowslipmoor/daemon/http/Exchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/Exchange.java
@@ -68,6 +68,11 @@
     }
   }
 
+  /** Tells whether its connection has carried other exchanges before. */
+  public boolean isOnKeptConnection() {
+    return connection != null && connection.isKept();
+  }
+
   boolean isOver() {
     return over;
   }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnection.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnection.java
@@ -40,6 +40,8 @@
   private final Channel channel;
   private final BiConsumer<HttpConnection, Boolean> whenFree;
   private @Nullable Exchange current;
+  private boolean started;
+  private boolean kept;
   private boolean headSeen;
   private boolean skipping;
   private long bytesBeforeHead;
@@ -73,6 +75,8 @@
 
   void start(Exchange exchange) {
     current = exchange;
+    kept = started;
+    started = true;
     headSeen = false;
     bytesBeforeHead = 0;
     skippedBytes = 0;
@@ -134,6 +138,11 @@
     reset();
   }
 
+  /** Tells whether the present exchange is not the first one. */
+  boolean isKept() {
+    return kept;
+  }
+
   boolean asksForHeadOnly() {
     return current != null && current.asksForHeadOnly();
   }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnections.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnections.java
@@ -84,6 +84,13 @@
     return exchange;
   }
 
+  /** Starts an exchange on a new connection, on which no answer to an earlier request can come. */
+  public Exchange startOnNew(String address, HttpRequest head, ExchangeListener listener) {
+    Exchange exchange = new Exchange(head, listener);
+    connect(address, exchange);
+    return exchange;
+  }
+
   /** Closes the idle connections to an address. */
   public void forget(String address) {
     Deque<HttpConnection> kept = idle.remove(address);
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/GatewayTest.java
@@ -12,62 +12,38 @@
 import static org.hamcrest.Matchers.startsWith;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
-import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
-import com.linecorp.armeria.client.ClientFactory;
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
-import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpMethod;
-import com.linecorp.armeria.common.HttpRequest;
-import com.linecorp.armeria.common.RequestHeaders;
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.BooleanSupplier;
-import org.cowslipmoor.core.discovery.DiscoveredTarget;
-import org.cowslipmoor.core.discovery.TargetDirectory;
-import org.cowslipmoor.core.range.GrantOutcome;
 import org.cowslipmoor.core.range.KeyRange;
-import org.cowslipmoor.core.range.RangeEntry;
 import org.cowslipmoor.core.range.RangeTable;
-import org.cowslipmoor.core.routing.CallerLimits;
-import org.cowslipmoor.core.routing.Destination;
-import org.cowslipmoor.core.routing.RequestKind;
-import org.cowslipmoor.core.routing.RouteRule;
-import org.cowslipmoor.core.routing.RoutingConfiguration;
-import org.cowslipmoor.core.routing.ServiceDescription;
 import org.cowslipmoor.daemon.coordination.StoreView;
-import org.cowslipmoor.daemon.coordination.TargetOrders;
 import org.cowslipmoor.daemon.http.Exchange;
 import org.cowslipmoor.daemon.http.ExchangeFailure;
 import org.cowslipmoor.daemon.http.ExchangeListener;
 import org.cowslipmoor.daemon.http.HttpConnections;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** A host over loopback in front of scripted targets. */
-final class GatewayTest {
+final class GatewayTest extends LoopbackGateway {
   private static final String OK = "HTTP/1.1 200 OK\r\nrequest-id: r-1\r\nstamp: s\r\n";
   private static final String OTHER = "HTTP/1.1 200 OK\r\nrequest-id: other\r\n";
   private static final String UPGRADE =
@@ -77,134 +53,6 @@
   /** More than what the buffers of two sockets hold, less than what they pass in a second. */
   private static final long BUFFERED_BYTES = 24 << 20;
 
-  private final EventLoopGroup group =
-      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-  private final List<ScriptedTarget> targets = new ArrayList<>();
-  private final int[] ports = new int[4];
-
-  /** Of its own, since a kept connection to a host of another test may have the same address. */
-  private final ClientFactory clients = ClientFactory.builder().build();
-
-  private CompletableFuture<Void> storeAnswer = CompletableFuture.completedFuture(null);
-  private GatewayHost host;
-  private WebClient metrics;
-  private ImmutableSet<String> members = ImmutableSet.of("host-1");
-
-  @AfterEach
-  void close() throws Exception {
-    if (host != null) {
-      host.stop();
-    }
-    for (ScriptedTarget t : targets) {
-      t.close();
-    }
-    clients.close();
-    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
-  }
-
-  private ScriptedTarget target(String id, ScriptedTarget.Script script) throws IOException {
-    ScriptedTarget t = new ScriptedTarget(id, script);
-    targets.add(t);
-    return t;
-  }
-
-  private static RouteRule rule(String prefix, RequestKind kind, String service) {
-    return new RouteRule(
-        prefix,
-        "shop.example",
-        prefix,
-        kind,
-        2,
-        3_000,
-        1_000,
-        1,
-        ImmutableList.of(new Destination(service, 1)));
-  }
-
-  private static RoutingConfiguration configuration() {
-    return RoutingConfiguration.of(
-        1,
-        new CallerLimits(100_000, 8_192, 1_000, 1_000),
-        List.of(
-            new ServiceDescription("sheets", 100, false),
-            new ServiceDescription("stock", 100, true)),
-        List.of(
-            rule("/safe/", RequestKind.SAFE, "sheets"),
-            rule("/once/", RequestKind.UNSAFE, "sheets"),
-            rule("/keyed/", RequestKind.SAFE, "stock")));
-  }
-
-  private StoreView view(String service, RangeTable table) {
-    List<DiscoveredTarget> announced = targets.stream().map(t -> t.announced(service)).toList();
-    return new StoreView(
-        configuration(), TargetDirectory.of(announced), table, 1, members, 1, null, true, 1);
-  }
-
-  private WebClient client(int port) {
-    return WebClient.builder("h1c://127.0.0.1:" + port).factory(clients).build();
-  }
-
-  /** Picks the host's ports, all at a time, since a port that is free again may come twice. */
-  private void pickPorts() throws IOException {
-    if (ports[0] != 0) {
-      return;
-    }
-    List<ServerSocket> free = new ArrayList<>();
-    for (int i = 0; i < ports.length; i++) {
-      free.add(new ServerSocket(0));
-      ports[i] = free.get(i).getLocalPort();
-    }
-    for (ServerSocket socket : free) {
-      socket.close();
-    }
-  }
-
-  private WebClient start(StoreView view) throws Exception {
-    pickPorts();
-    GatewaySettings settings =
-        new GatewaySettings(
-            "host-1",
-            "cairo",
-            "127.0.0.1:" + ports[0],
-            "127.0.0.1:" + ports[1],
-            "127.0.0.1:" + ports[2],
-            "/ready",
-            "127.0.0.1:" + ports[3],
-            1_500,
-            10_000,
-            600,
-            0.2,
-            100,
-            10_000,
-            1e8,
-            1);
-    host =
-        GatewayHost.start(
-            settings,
-            group,
-            group.next(),
-            new FixedStore(view, storeAnswer),
-            new NoOrders(),
-            new PlainDialect(),
-            new SplittableRandom(1));
-    metrics = client(ports[3]);
-    return client(ports[0]);
-  }
-
-  private static AggregatedHttpResponse send(
-      WebClient client, HttpMethod method, String path, String body, String... headers) {
-    var builder =
-        RequestHeaders.builder(method, path).authority("shop.example").add("request-id", "r-1");
-    for (int i = 0; i < headers.length; i += 2) {
-      builder.add(headers[i], headers[i + 1]);
-    }
-    HttpRequest request =
-        body.isEmpty()
-            ? HttpRequest.of(builder.build())
-            : HttpRequest.of(builder.build(), HttpData.ofUtf8(body));
-    return client.execute(request).aggregate().join();
-  }
-
   @Test
   void requestReachesTheTargetUnchangedAndItsAnswerTheCaller() throws Exception {
     final ScriptedTarget t = target("t", ScriptedTarget.ok("answer"));
@@ -378,25 +226,6 @@
         send(client, HttpMethod.POST, "/once/a", "x".repeat(100_001)).status().code(), is(413));
   }
 
-  private static RangeEntry entry(ScriptedTarget t, int from, int to, long fence) {
-    DiscoveredTarget d = t.announced("stock");
-    return new RangeEntry("stock", new KeyRange(from, to), d.life(), d.address(), fence, null);
-  }
-
-  /** Orders that no target gets. */
-  private static final class NoOrders implements TargetOrders {
-    @Override
-    public CompletableFuture<GrantOutcome> grant(
-        RangeEntry entry, long holdNanos, BooleanSupplier isAllowed) {
-      return CompletableFuture.completedFuture(GrantOutcome.NOT_SENT);
-    }
-
-    @Override
-    public CompletableFuture<Released> release(RangeEntry entry, BooleanSupplier isAllowed) {
-      return CompletableFuture.completedFuture(new Released(false, null));
-    }
-  }
-
   /**
    * Answers a host that lagged: its callers have left by the time it reads their requests. What
    * they asked for is not begun, and the connection that was opened for it serves the next one.
--- /dev/null
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/LoopbackGateway.java
@@ -0,0 +1,187 @@
+package org.cowslipmoor.daemon.gateway;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.linecorp.armeria.client.ClientFactory;
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.RequestHeaders;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.cowslipmoor.core.discovery.DiscoveredTarget;
+import org.cowslipmoor.core.discovery.TargetDirectory;
+import org.cowslipmoor.core.range.GrantOutcome;
+import org.cowslipmoor.core.range.KeyRange;
+import org.cowslipmoor.core.range.RangeEntry;
+import org.cowslipmoor.core.range.RangeTable;
+import org.cowslipmoor.core.routing.CallerLimits;
+import org.cowslipmoor.core.routing.Destination;
+import org.cowslipmoor.core.routing.RequestKind;
+import org.cowslipmoor.core.routing.RouteRule;
+import org.cowslipmoor.core.routing.RoutingConfiguration;
+import org.cowslipmoor.core.routing.ServiceDescription;
+import org.cowslipmoor.daemon.coordination.StoreView;
+import org.cowslipmoor.daemon.coordination.TargetOrders;
+import org.junit.jupiter.api.AfterEach;
+
+/** Starts a host over loopback in front of scripted targets. */
+abstract class LoopbackGateway {
+  final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  final List<ScriptedTarget> targets = new ArrayList<>();
+  final int[] ports = new int[4];
+
+  /** Of its own, since a kept connection to a host of another test may have the same address. */
+  final ClientFactory clients = ClientFactory.builder().build();
+
+  CompletableFuture<Void> storeAnswer = CompletableFuture.completedFuture(null);
+  GatewayHost host;
+  WebClient metrics;
+  ImmutableSet<String> members = ImmutableSet.of("host-1");
+
+  @AfterEach
+  void close() throws Exception {
+    if (host != null) {
+      host.stop();
+    }
+    for (ScriptedTarget t : targets) {
+      t.close();
+    }
+    clients.close();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+  }
+
+  ScriptedTarget target(String id, ScriptedTarget.Script script) throws IOException {
+    ScriptedTarget t = new ScriptedTarget(id, script);
+    targets.add(t);
+    return t;
+  }
+
+  static RouteRule rule(String prefix, RequestKind kind, String service) {
+    return new RouteRule(
+        prefix,
+        "shop.example",
+        prefix,
+        kind,
+        2,
+        3_000,
+        1_000,
+        1,
+        ImmutableList.of(new Destination(service, 1)));
+  }
+
+  static RoutingConfiguration configuration() {
+    return RoutingConfiguration.of(
+        1,
+        new CallerLimits(100_000, 8_192, 1_000, 1_000),
+        List.of(
+            new ServiceDescription("sheets", 100, false),
+            new ServiceDescription("stock", 100, true)),
+        List.of(
+            rule("/safe/", RequestKind.SAFE, "sheets"),
+            rule("/once/", RequestKind.UNSAFE, "sheets"),
+            rule("/keyed/", RequestKind.SAFE, "stock"),
+            rule("/keyed-once/", RequestKind.UNSAFE, "stock")));
+  }
+
+  StoreView view(String service, RangeTable table) {
+    List<DiscoveredTarget> announced = targets.stream().map(t -> t.announced(service)).toList();
+    return new StoreView(
+        configuration(), TargetDirectory.of(announced), table, 1, members, 1, null, true, 1);
+  }
+
+  WebClient client(int port) {
+    return WebClient.builder("h1c://127.0.0.1:" + port).factory(clients).build();
+  }
+
+  /** Picks the host's ports, all at a time, since a port that is free again may come twice. */
+  void pickPorts() throws IOException {
+    if (ports[0] != 0) {
+      return;
+    }
+    List<ServerSocket> free = new ArrayList<>();
+    for (int i = 0; i < ports.length; i++) {
+      free.add(new ServerSocket(0));
+      ports[i] = free.get(i).getLocalPort();
+    }
+    for (ServerSocket socket : free) {
+      socket.close();
+    }
+  }
+
+  WebClient start(StoreView view) throws Exception {
+    pickPorts();
+    GatewaySettings settings =
+        new GatewaySettings(
+            "host-1",
+            "cairo",
+            "127.0.0.1:" + ports[0],
+            "127.0.0.1:" + ports[1],
+            "127.0.0.1:" + ports[2],
+            "/ready",
+            "127.0.0.1:" + ports[3],
+            1_500,
+            10_000,
+            600,
+            0.2,
+            100,
+            10_000,
+            1e8,
+            1);
+    host =
+        GatewayHost.start(
+            settings,
+            group,
+            group.next(),
+            new FixedStore(view, storeAnswer),
+            new NoOrders(),
+            new PlainDialect(),
+            new SplittableRandom(1));
+    metrics = client(ports[3]);
+    return client(ports[0]);
+  }
+
+  static AggregatedHttpResponse send(
+      WebClient client, HttpMethod method, String path, String body, String... headers) {
+    var builder =
+        RequestHeaders.builder(method, path).authority("shop.example").add("request-id", "r-1");
+    for (int i = 0; i < headers.length; i += 2) {
+      builder.set(headers[i], headers[i + 1]);
+    }
+    HttpRequest request =
+        body.isEmpty()
+            ? HttpRequest.of(builder.build())
+            : HttpRequest.of(builder.build(), HttpData.ofUtf8(body));
+    return client.execute(request).aggregate().join();
+  }
+
+  static RangeEntry entry(ScriptedTarget t, int from, int to, long fence) {
+    DiscoveredTarget d = t.announced("stock");
+    return new RangeEntry("stock", new KeyRange(from, to), d.life(), d.address(), fence, null);
+  }
+
+  /** Orders that no target gets. */
+  private static final class NoOrders implements TargetOrders {
+    @Override
+    public CompletableFuture<GrantOutcome> grant(
+        RangeEntry entry, long holdNanos, BooleanSupplier isAllowed) {
+      return CompletableFuture.completedFuture(GrantOutcome.NOT_SENT);
+    }
+
+    @Override
+    public CompletableFuture<Released> release(RangeEntry entry, BooleanSupplier isAllowed) {
+      return CompletableFuture.completedFuture(new Released(false, null));
+    }
+  }
+}
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/ScriptedTarget.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/ScriptedTarget.java
@@ -29,6 +29,9 @@
   /** Stands in an answer before bytes that are repeated until the host closes the connection. */
   static final String REPEATED = "\uffff";
 
+  /** Stands at the end of an answer after which the connection is closed. */
+  static final String CLOSED = "\u0004";
+
   private static final int BLOCK_BYTES = 8_192;
   private final String id;
   private final ServerSocket server;
@@ -39,6 +42,11 @@
   interface Script {
     /** Returns the bytes; null closes the connection without an answer. */
     String answer(String requestId);
+
+    /** Returns the bytes for a request on a connection that may have carried others before. */
+    default String answer(String requestId, boolean isKept) {
+      return answer(requestId);
+    }
   }
 
   ScriptedTarget(String id, Script script) throws IOException {
@@ -86,7 +94,7 @@
       BufferedReader in =
           new BufferedReader(
               new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
-      while (true) {
+      for (boolean isKept = false; true; isKept = true) {
         StringBuilder request = new StringBuilder();
         String requestId = "";
         int length = 0;
@@ -106,10 +114,15 @@
           request.append((char) in.read());
         }
         requests.add(request.toString());
-        String answer = script.answer(requestId);
+        String answer = script.answer(requestId, isKept);
         if (answer == null) {
           return;
         }
+        if (answer.endsWith(CLOSED)) {
+          String whole = answer.substring(0, answer.length() - CLOSED.length());
+          socket.getOutputStream().write(whole.getBytes(StandardCharsets.US_ASCII));
+          return;
+        }
         int repeat = answer.indexOf(REPEATED);
         String begin = repeat < 0 ? answer : answer.substring(0, repeat);
         socket.getOutputStream().write(begin.getBytes(StandardCharsets.US_ASCII));
