Let machines claim the coordination first for which it is a small load

What callers saw: CONFIG, and keys that were served late, while hosts with 0.21 of a core and 7 Mbit/s coordinated 102 hosts. 8 of them have 1.5 cores and 140 Mbit/s. Cause: whoever was first by chance claimed the coordination. Change: a host whose machine the coordination would take more than a quarter of waits up to 0.6 s before it claims. On fleets of equal machines with room for it, as on the small sites, nobody waits. A small host that coordinates does not hand over when a larger one comes back; not built. CoordinationLoadTest; callers of Leadership.onVacancy in tests pass no handicap, which is what they had.

--- a/core/src/main/java/org/cowslipmoor/core/range/Leadership.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/Leadership.java
@@ -83,10 +83,14 @@
     return new Leadership(ttlMillis * MS, random);
   }
 
-  /** Takes what the store says: whether any host coordinates. */
-  public void onVacancy(long now, boolean isVacant) {
+  /**
+   * Takes what the store says: whether any host coordinates.
+   *
+   * @param handicap time by which this host lets others claim first, in nanoseconds, at least 0
+   */
+  public void onVacancy(long now, boolean isVacant, long handicap) {
     if (isVacant && !vacant) {
-      claimAt = now + random.nextLong(CLAIM_SPREAD);
+      claimAt = now + handicap + random.nextLong(CLAIM_SPREAD);
     }
     vacant = isVacant;
   }
--- /dev/null
+++ b/core/src/test/java/org/cowslipmoor/core/fleet/CoordinationLoadTest.java
@@ -0,0 +1,24 @@
+package org.cowslipmoor.core.fleet;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+import org.junit.jupiter.api.Test;
+
+final class CoordinationLoadTest {
+  private static final CoordinationLoad LARGE = new CoordinationLoad(17_500_000, 1.5);
+  private static final CoordinationLoad SMALL = new CoordinationLoad(875_000, 0.21);
+
+  /** Answers coordinators with 0.21 of a core whose decisions came seconds late. */
+  @Test
+  void largeMachinesClaimBeforeSmallOnes() {
+    assertThat(LARGE.handicap(102), is(0L));
+    assertThat(SMALL.handicap(102), greaterThan(300_000_000L));
+  }
+
+  @Test
+  void equalMachinesOfSmallFleetDoNotWait() {
+    assertThat(new CoordinationLoad(87_500_000, 0.42).handicap(19), is(0L));
+  }
+}
--- a/core/src/test/java/org/cowslipmoor/core/range/FakeHost.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/FakeHost.java
@@ -144,7 +144,7 @@
     noticeStandstill(now);
     if (store.reaches(this)) {
       directory = world.directory();
-      leadership.onVacancy(now, store.isVacant());
+      leadership.onVacancy(now, store.isVacant(), 0);
     }
     leadership.tick(now).ifPresent(this::call);
     if (leadership.lease() == null) {
--- a/core/src/test/java/org/cowslipmoor/core/range/LeadershipTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/LeadershipTest.java
@@ -27,7 +27,7 @@
   @Test
   void vacancyIsClaimedSoon() {
     assertThat(firstAction(0, 2_000 * MS), is(Optional.empty()));
-    leadership.onVacancy(2_000 * MS, true);
+    leadership.onVacancy(2_000 * MS, true, 0);
     Optional<Leadership.Action> action = firstAction(2_000 * MS, 2_400 * MS);
     assertThat(action.orElseThrow(), instanceOf(Leadership.Action.Claim.class));
   }
@@ -73,7 +73,7 @@
 
   @Test
   void claimAnsweredAfterSuspensionGivesNoLeadership() {
-    leadership.onVacancy(0, true);
+    leadership.onVacancy(0, true, 0);
     assertThat(firstAction(0, 400 * MS).isPresent(), is(true));
     leadership.onSuspended(410 * MS);
     leadership.onClaimed(300 * MS, LEASE);
@@ -102,7 +102,7 @@
   void resignedHostNeverClaimsAgain() {
     leadership.onClaimed(0, LEASE);
     assertThat(leadership.resign().orElseThrow(), is(new Leadership.Action.End(LEASE)));
-    leadership.onVacancy(0, true);
+    leadership.onVacancy(0, true, 0);
     assertThat(firstAction(0, 5_000 * MS), is(Optional.empty()));
     assertThat(leadership.leads(0), is(false));
   }
@@ -110,7 +110,7 @@
   /** A lease that nobody ends keeps the other hosts from claiming until it lapses. */
   @Test
   void claimAnsweredAfterResigningIsGivenBack() {
-    leadership.onVacancy(0, true);
+    leadership.onVacancy(0, true, 0);
     assertThat(firstAction(0, 400 * MS).orElseThrow(), instanceOf(Leadership.Action.Claim.class));
     assertThat(leadership.resign(), is(Optional.empty()));
 
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/Coordination.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/Coordination.java
@@ -10,6 +10,7 @@
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.cowslipmoor.core.fleet.CoordinationLoad;
 import org.cowslipmoor.core.fleet.FleetState;
 import org.cowslipmoor.core.range.Leadership;
 import org.cowslipmoor.core.range.RangeAction;
@@ -38,6 +39,7 @@
   private final RangeTiming timing;
   private final Supplier<StoreView> view;
   private final Function<String, ServiceLoad> loads;
+  private final CoordinationLoad load;
   private final LongSupplier steadyClock;
   private final LongSupplier timeOfDay;
   private final HostClock clock;
@@ -63,6 +65,7 @@
    *
    * @param view what the host last learned from the store
    * @param loads measured load of a keyed service
+   * @param load what the coordination takes of this machine
    */
   public Coordination(
       SharedStore store,
@@ -70,7 +73,8 @@
       Leadership leadership,
       RangeTiming timing,
       Supplier<StoreView> view,
-      Function<String, ServiceLoad> loads) {
+      Function<String, ServiceLoad> loads,
+      CoordinationLoad load) {
     this(
         store,
         orders,
@@ -78,6 +82,7 @@
         timing,
         view,
         loads,
+        load,
         System::nanoTime,
         () -> TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis()));
   }
@@ -91,6 +96,7 @@
       RangeTiming timing,
       Supplier<StoreView> view,
       Function<String, ServiceLoad> loads,
+      CoordinationLoad load,
       LongSupplier steadyClock,
       LongSupplier timeOfDay) {
     this.store = store;
@@ -99,6 +105,7 @@
     this.timing = timing;
     this.view = view;
     this.loads = loads;
+    this.load = load;
     this.steadyClock = steadyClock;
     this.timeOfDay = timeOfDay;
     this.clock = new HostClock(now(), timeOfDay.getAsLong());
@@ -112,7 +119,8 @@
     log.tick(now);
     noteCertainty(now);
     StoreView v = view.get();
-    leadership.onVacancy(now, v.isLoaded() && v.coordinator() == null);
+    leadership.onVacancy(
+        now, v.isLoaded() && v.coordinator() == null, load.handicap(v.members().size()));
     leadership.tick(now).ifPresent(this::call);
     if (leadership.lease() == null) {
       coordinator = null;
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.random.RandomGenerator;
 import org.cowslipmoor.core.admission.TargetBook;
+import org.cowslipmoor.core.fleet.CoordinationLoad;
 import org.cowslipmoor.core.fleet.FleetState;
 import org.cowslipmoor.core.fleet.HostReport;
 import org.cowslipmoor.core.range.KeyCounts;
@@ -116,7 +117,8 @@
                 settings.leaseMillis(),
                 TargetOrders.GRANT_TIMEOUT_MILLIS),
             () -> view,
-            this::load);
+            this::load,
+            new CoordinationLoad(settings.linkBytesPerSecond(), settings.cores()));
     fleet =
         new FleetExchange(
             group,
--- a/daemon/src/test/java/org/cowslipmoor/daemon/coordination/CoordinationTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/coordination/CoordinationTest.java
@@ -17,6 +17,7 @@
 import java.util.function.Consumer;
 import org.cowslipmoor.core.discovery.TargetDirectory;
 import org.cowslipmoor.core.discovery.TargetLife;
+import org.cowslipmoor.core.fleet.CoordinationLoad;
 import org.cowslipmoor.core.range.GrantOutcome;
 import org.cowslipmoor.core.range.KeyRange;
 import org.cowslipmoor.core.range.Leadership;
@@ -61,6 +62,7 @@
                   true,
                   1),
           unused -> ServiceLoad.even(),
+          new CoordinationLoad(1e8, 1),
           () -> now,
           () -> now);
 
