Pause after each answer of the store that comes early

What callers would see: calls to the store without end from a store that ends a watch early without news; the pages say that a watch that waits may be cut. Cause: only answers with news were followed by a pause. NewsPropagationProperties pass as before, 40 and 20 tries.

--- a/core/src/main/java/org/cowslipmoor/core/fleet/StoreFollower.java
+++ b/core/src/main/java/org/cowslipmoor/core/fleet/StoreFollower.java
@@ -22,7 +22,7 @@
   /** Time beyond its wait after which a call is given up. */
   private static final long SLACK = 400 * MS;
 
-  /** Pause after news, so that changes in quick succession come with one call. */
+  /** Pause after an early answer, so that changes in quick succession come with one call. */
   private static final long BATCH = 40 * MS;
 
   /** Pause after the first call that failed. */
@@ -126,7 +126,7 @@
   /**
    * Takes an answer.
    *
-   * @param hasNews whether it told changes; an answer without any was held back for the whole wait
+   * @param hasNews whether it told changes
    */
   public void onAnswer(Ask ask, boolean hasNews, long now) {
     boolean waited = !hasNews && now - ask.askedAt() >= ask.held();
@@ -134,7 +134,7 @@
     if (ask.number() == number) {
       inFlight = false;
       failures = 0;
-      nextAskAt = hasNews ? now + BATCH : now;
+      nextAskAt = waited ? now : now + BATCH;
     }
   }
 
