--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
@@ -48,14 +48,14 @@
   private final Supplier<HostReport> report;
   private final Consumer<FleetState> onFleet;
   private final MemberLinks links;
+  private final LinkBudget budget;
+  private final NewsRelay relay = NewsRelay.create();
   private final RelayLog log = new RelayLog(System.nanoTime());
   private final FleetAggregator aggregator = FleetAggregator.create(System.nanoTime());
   private @Nullable Membership membership;
   private boolean isWritingMembers;
   private long waitLoggedAt = System.nanoTime() - WAIT_LOG_PAUSE;
   private long membersRevision;
-  private final NewsRelay relay = NewsRelay.create();
-  private final LinkBudget budget;
   private boolean stopped;
   private long relayedRevision;
   private long relayedConfirmedAt;
