Test what a coordinator sends again, and use one virtual time in both models

NewsRelayTest covers frames on their way, lost ones, hosts that start again and hosts that lack news from before the coordinator's own start. NewsWorld runs on VirtualTime, as the model of ownership does.

--- /dev/null
+++ b/core/src/test/java/org/cowslipmoor/core/fleet/NewsRelayTest.java
@@ -0,0 +1,54 @@
+package org.cowslipmoor.core.fleet;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import org.cowslipmoor.core.fleet.NewsRelay.Frame;
+import org.junit.jupiter.api.Test;
+
+final class NewsRelayTest {
+  private static final long SECOND = 1_000_000_000L;
+
+  private final NewsRelay relay = NewsRelay.create();
+
+  private List<Frame> sent(long revision, long trackedSince, long now) {
+    List<Frame> frames = relay.due(revision, trackedSince, now);
+    frames.forEach(f -> relay.onSent(f, revision, now));
+    return frames;
+  }
+
+  @Test
+  void newsOnTheirWayAreNotSentAgain() {
+    relay.onReport("h", 5, 70);
+    assertThat(sent(9, 0, 0), is(List.of(new Frame("h", 5, 70))));
+    assertThat(sent(11, 0, SECOND / 10), is(List.of(new Frame("h", 9, 70))));
+  }
+
+  @Test
+  void newsThatDidNotArriveAreSentAgain() {
+    relay.onReport("h", 5, 70);
+    sent(9, 0, 0);
+    relay.onReport("h", 5, 71);
+    assertThat(sent(9, 0, SECOND), is(List.of(new Frame("h", 5, 71))));
+  }
+
+  @Test
+  void hostThatStartedAgainIsSentWhatItLacks() {
+    relay.onReport("h", 9, 70);
+    sent(11, 0, 0);
+    relay.onReport("h", 3, 5);
+    assertThat(sent(11, 0, 1), is(List.of(new Frame("h", 3, 5))));
+  }
+
+  /** Answers a target that left before the coordinator's own start, of which it can't tell. */
+  @Test
+  void hostThatGoesOnLackingEarlierNewsIsSentAll() {
+    relay.onReport("h", 5, 70);
+    assertThat(sent(9, 7, 0), is(empty()));
+    assertThat(sent(9, 7, SECOND), is(empty()));
+    assertThat(sent(9, 7, 2 * SECOND), is(List.of(new Frame("h", 0, 70))));
+    assertThat(sent(9, 7, 2 * SECOND + 1), is(List.of(new Frame("h", 9, 70))));
+  }
+}
--- a/core/src/test/java/org/cowslipmoor/core/fleet/NewsWorld.java
+++ b/core/src/test/java/org/cowslipmoor/core/fleet/NewsWorld.java
@@ -1,17 +1,16 @@
 package org.cowslipmoor.core.fleet;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
-import java.util.PriorityQueue;
 import java.util.SplittableRandom;
+import org.cowslipmoor.core.range.VirtualTime;
 
 /**
  * Hosts that follow a store through a coordinator, in virtual time: links that carry little, lose
  * and delay, slow hosts, and coordinators one after the other. Times are nanoseconds.
  */
 final class NewsWorld {
-  static final long MS = 1_000_000L;
+  static final long MS = VirtualTime.MS;
   static final long SECOND = 1_000 * MS;
   private static final long STORE_DELAY = 2 * MS;
   private static final long LINK_DELAY = 2 * MS;
@@ -19,22 +18,17 @@
   private static final long TICK = 50 * MS;
   private static final int CONFIRMATION_BYTES = 60;
 
-  private final PriorityQueue<Event> events =
-      new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
+  private final VirtualTime time = new VirtualTime();
   private final List<Long> changes = new ArrayList<>();
   private final List<Host> hosts = new ArrayList<>();
   private final SplittableRandom random;
   private final Setup setup;
-  private long order;
-  private long now = SECOND;
   private int coordinator;
   private boolean isStoreSilent;
   private boolean countsFromArrival;
   private long worstDelay;
   private long calls;
 
-  private record Event(long at, long order, Runnable work) {}
-
   /**
    * What the hosts are like.
    *
@@ -65,18 +59,12 @@
   }
 
   void run(long duration) {
-    long end = now + duration;
-    while (!events.isEmpty() && events.peek().at() <= end) {
-      Event e = events.poll();
-      now = e.at();
-      e.work().run();
-    }
-    now = end;
+    time.run(duration);
   }
 
   /** Changes the store, and notes when each host knows of it. */
   void change() {
-    changes.add(now);
+    changes.add(now());
     hosts.forEach(Host::onStoreChanged);
   }
 
@@ -103,7 +91,7 @@
     hosts.forEach(h -> h.learn(h.known));
     for (Host h : hosts) {
       for (int revision = h.known; revision < changes.size(); revision++) {
-        worstDelay = Math.max(worstDelay, now - changes.get(revision));
+        worstDelay = Math.max(worstDelay, now() - changes.get(revision));
       }
     }
     return worstDelay;
@@ -113,8 +101,12 @@
     return calls;
   }
 
-  void after(long delay, Runnable work) {
-    events.add(new Event(now + delay, order++, work));
+  private long now() {
+    return time.now();
+  }
+
+  private void after(long delay, Runnable work) {
+    time.after(delay, work);
   }
 
   /** One host; it knows of changes up to a number of them, which serves as the revision. */
@@ -122,16 +114,16 @@
     private final int id;
     private final StoreFollower follower;
     private final NewsRelay relay = NewsRelay.create();
-    private final LinkBudget budget = LinkBudget.create(setup.linkBytesPerSecond(), now);
+    private final LinkBudget budget = LinkBudget.create(setup.linkBytesPerSecond(), now());
     private final List<Runnable> waiting = new ArrayList<>();
     private int known;
-    private long linkFreeAt = now;
-    private long linkBrokenUntil = now;
+    private long linkFreeAt = now();
+    private long linkBrokenUntil = now();
     private long relayedAt;
 
     Host(int id) {
       this.id = id;
-      this.follower = StoreFollower.create(setup.limit(), random, now);
+      this.follower = StoreFollower.create(setup.limit(), random, now());
     }
 
     void start() {
@@ -156,11 +148,11 @@
     private void report() {
       if (id != coordinator) {
         int revision = known;
-        long at = now;
+        long at = now();
         Host to = hosts.get(coordinator);
         after(LINK_DELAY, () -> to.relay.onReport("" + id, revision, at));
-      } else if (countsFromArrival || budget.mayBroadcast(unsent(), now)) {
-        budget.onBroadcast((long) setup.stateBytes() * (hosts.size() - 1), now);
+      } else if (countsFromArrival || budget.mayBroadcast(unsent(), now())) {
+        budget.onBroadcast((long) setup.stateBytes() * (hosts.size() - 1), now());
         hosts.stream().filter(h -> h != this).forEach(h -> send(h, setup.stateBytes(), h::onState));
       }
       after(REPORT, this::report);
@@ -168,13 +160,13 @@
 
     private void ask() {
       follower
-          .next(now)
+          .next(now())
           .ifPresent(
               ask -> {
                 calls++;
                 int since = known;
                 boolean[] over = {false};
-                after(ask.timeout(), () -> finish(over, () -> follower.onFailure(ask, now)));
+                after(ask.timeout(), () -> finish(over, () -> follower.onFailure(ask, now())));
                 Runnable answer =
                     () ->
                         after(
@@ -205,7 +197,7 @@
 
     private void onAnswer(StoreFollower.Ask ask, int since, int revision) {
       learn(revision);
-      follower.onAnswer(ask, revision > since, now);
+      follower.onAnswer(ask, revision > since, now());
       if (id == coordinator) {
         passOn();
       }
@@ -214,13 +206,13 @@
 
     private void passOn() {
       relayedAt = follower.confirmedAt();
-      long age = follower.age(now);
+      long age = follower.age(now());
       int revision = known;
-      for (NewsRelay.Frame f : relay.due(revision, 0, now)) {
+      for (NewsRelay.Frame f : relay.due(revision, 0, now())) {
         if (!countsFromArrival && !budget.hasRoom(unsent())) {
           return;
         }
-        relay.onSent(f, revision, now);
+        relay.onSent(f, revision, now());
         Host to = hosts.get(Integer.parseInt(f.host()));
         int bytes = CONFIRMATION_BYTES + (int) (revision - f.since()) * setup.changeBytes();
         send(to, bytes, () -> to.onNews(f.since(), revision, f.echoedAt() - age));
@@ -236,23 +228,23 @@
 
     private void onState() {
       if (countsFromArrival) {
-        follower.onRelayed(now);
+        follower.onRelayed(now());
       }
     }
 
     private void send(Host to, int bytes, Runnable arrival) {
       long nanos = (long) (bytes / setup.linkBytesPerSecond() * SECOND);
-      linkFreeAt = Math.max(now, linkFreeAt) + nanos;
+      linkFreeAt = Math.max(now(), linkFreeAt) + nanos;
       if (random.nextDouble() < setup.loss()) {
-        to.linkBrokenUntil = now + SECOND;
+        to.linkBrokenUntil = now() + SECOND;
       }
-      if (now >= to.linkBrokenUntil) {
-        after(linkFreeAt - now + LINK_DELAY + to.lag(), arrival);
+      if (now() >= to.linkBrokenUntil) {
+        after(linkFreeAt - now() + LINK_DELAY + to.lag(), arrival);
       }
     }
 
     private long unsent() {
-      return (long) (Math.max(0, linkFreeAt - now) * setup.linkBytesPerSecond() / SECOND);
+      return (long) (Math.max(0, linkFreeAt - now()) * setup.linkBytesPerSecond() / SECOND);
     }
 
     private long lag() {
@@ -261,7 +253,7 @@
 
     private void learn(int revision) {
       for (; known < revision; known++) {
-        worstDelay = Math.max(worstDelay, now - changes.get(known));
+        worstDelay = Math.max(worstDelay, now() - changes.get(known));
       }
     }
 
--- a/core/src/test/java/org/cowslipmoor/core/range/VirtualTime.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/VirtualTime.java
@@ -3,8 +3,8 @@
 import java.util.PriorityQueue;
 
 /** Time that passes only as far as a test lets it, in nanoseconds; work is done when it is due. */
-final class VirtualTime {
-  static final long MS = 1_000_000L;
+public final class VirtualTime {
+  public static final long MS = 1_000_000L;
 
   private final PriorityQueue<Event> events = new PriorityQueue<>();
   private long now = 1;
@@ -17,15 +17,18 @@
     }
   }
 
-  long now() {
+  /** Returns the present time. */
+  public long now() {
     return now;
   }
 
-  void after(long delay, Runnable work) {
+  /** Does work after a delay. */
+  public void after(long delay, Runnable work) {
     events.add(new Event(now + delay, order++, work));
   }
 
-  void run(long duration) {
+  /** Lets time pass, and does what is due in it. */
+  public void run(long duration) {
     long end = now + duration;
     while (!events.isEmpty() && events.peek().at() <= end) {
       Event event = events.poll();
