Report how far a host knows the store, not when it last saw a change

What callers would see: a slower start of the hosts after all of them stopped. Cause: a host told the coordinator the revision of the last change that it saw. While nothing changed this stayed behind what it knew, and behind the revision from which on a coordinator that has just started knows all changes; so the coordinator sent all items to each host after 1.5 s. Whether this was the reason is not known yet. Change: the revision up to which the store is known is reported and passed on.

--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
@@ -145,7 +145,7 @@
     if (isMovingUntold && now - movingToldAt >= MOVING_PAUSE) {
       tellMoving(now);
     }
-    long revision = view.get().revision();
+    long revision = store.revision();
     if (revision != relayedRevision || store.confirmedAt() != relayedConfirmedAt) {
       relayedRevision = revision;
       relayedConfirmedAt = store.confirmedAt();
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/SharedStore.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/SharedStore.java
@@ -29,6 +29,9 @@
   /** Returns the time to which the store's state is known here, at least. */
   long confirmedAt();
 
+  /** Returns the revision up to which all changes are known here, whether or not there were any. */
+  long revision();
+
   /** Returns the revision after which all changes are known here, deletions included. */
   long trackedSince();
 
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -236,7 +236,7 @@
     return new HostReport(
         keyCounts.drain(),
         book.drainSamples(),
-        view.revision(),
+        store.revision(),
         gateway.candidates(),
         System.nanoTime());
   }
--- a/daemon/src/test/java/org/cowslipmoor/daemon/coordination/CoordinationTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/coordination/CoordinationTest.java
@@ -187,6 +187,11 @@
       return 0;
     }
 
+    @Override
+    public long revision() {
+      return 1;
+    }
+
     @Override
     public long trackedSince() {
       return 0;
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/FixedStore.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/FixedStore.java
@@ -29,6 +29,11 @@
     return 0;
   }
 
+  @Override
+  public long revision() {
+    return view.revision();
+  }
+
   @Override
   public long trackedSince() {
     return 0;
