--- a/core/src/main/java/org/cowslipmoor/core/fleet/package-info.java
+++ b/core/src/main/java/org/cowslipmoor/core/fleet/package-info.java
@@ -1,4 +1,4 @@
-/** What the hosts tell each other about load, by way of the coordinator. */
+/** What the hosts tell each other about load and the shared store, by way of the coordinator. */
 @NullMarked
 package org.cowslipmoor.core.fleet;
 
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
@@ -29,8 +29,8 @@
 import org.tinylog.Logger;
 
 /**
- * Exchanges load between this host and the coordinator, and passes the store's news on to hosts
- * that are cut off from the store. Confined to the host's event loop.
+ * Exchanges load between this host and the coordinator, and passes the store's news on to the other
+ * hosts. Confined to the host's event loop.
  */
 public final class FleetExchange implements MemberLinks.FrameReceiver {
   private static final String SETUP = "platform";
