--- a/core/src/main/java/org/cowslipmoor/core/routing/RouteRule.java
+++ b/core/src/main/java/org/cowslipmoor/core/routing/RouteRule.java
@@ -28,7 +28,8 @@
     long timeoutMillis,
     long objectiveMillis,
     int priority,
-    ImmutableList<Destination> destinations) {
+    ImmutableList<Destination> destinations)
+    implements RouteEntry {
 
   /**
    * Checks the prefix, the ranges of the numbers and the destinations.
@@ -36,10 +37,7 @@
    * @throws IllegalArgumentException if one of them is invalid
    */
   public RouteRule {
-    checkArgument(
-        prefix.startsWith("/") && prefix.endsWith("/"),
-        "prefix must begin and end with a slash, but is '%s'",
-        prefix);
+    checkPrefix(prefix);
     checkArgument(maxAttempts >= 1, "attempts must be at least 1, but is %s", maxAttempts);
     checkArgument(timeoutMillis >= 1, "timeout must be at least 1 ms, but is %s", timeoutMillis);
     checkArgument(
@@ -50,4 +48,11 @@
         "route '%s' has no destination with a weight above 0",
         name);
   }
+
+  static void checkPrefix(String prefix) {
+    checkArgument(
+        prefix.startsWith("/") && prefix.endsWith("/"),
+        "prefix must begin and end with a slash, but is '%s'",
+        prefix);
+  }
 }
--- a/core/src/main/java/org/cowslipmoor/core/routing/RoutingConfiguration.java
+++ b/core/src/main/java/org/cowslipmoor/core/routing/RoutingConfiguration.java
@@ -14,17 +14,17 @@
   private final long version;
   private final CallerLimits limits;
   private final ImmutableMap<String, ServiceDescription> services;
-  private final ImmutableListMultimap<String, RouteRule> rulesByHost;
+  private final ImmutableListMultimap<String, RouteEntry> routesByHost;
 
   private RoutingConfiguration(
       long version,
       CallerLimits limits,
       ImmutableMap<String, ServiceDescription> services,
-      ImmutableListMultimap<String, RouteRule> rulesByHost) {
+      ImmutableListMultimap<String, RouteEntry> routesByHost) {
     this.version = version;
     this.limits = limits;
     this.services = services;
-    this.rulesByHost = rulesByHost;
+    this.routesByHost = routesByHost;
   }
 
   /**
@@ -34,32 +34,31 @@
    *     the same host and prefix, or if two services have the same name
    */
   public static RoutingConfiguration of(
-      long version, CallerLimits limits, List<ServiceDescription> services, List<RouteRule> rules) {
+      long version,
+      CallerLimits limits,
+      List<ServiceDescription> services,
+      List<? extends RouteEntry> routes) {
     ImmutableMap<String, ServiceDescription> servicesByName =
         services.stream()
             .collect(ImmutableMap.toImmutableMap(ServiceDescription::name, service -> service));
     // Longest prefix first, so that the first match in find() has the longest prefix.
-    ImmutableList<RouteRule> longestPrefixFirst =
-        rules.stream()
-            .sorted(Comparator.comparingInt((RouteRule r) -> r.prefix().length()).reversed())
+    ImmutableList<RouteEntry> longestPrefixFirst =
+        routes.stream()
+            .sorted(Comparator.comparingInt((RouteEntry r) -> r.prefix().length()).reversed())
             .collect(ImmutableList.toImmutableList());
-    ImmutableListMultimap.Builder<String, RouteRule> rulesByHostBuilder =
+    ImmutableListMultimap.Builder<String, RouteEntry> routesByHostBuilder =
         ImmutableListMultimap.builder();
-    for (RouteRule r : longestPrefixFirst) {
-      for (Destination d : r.destinations()) {
-        checkArgument(
-            servicesByName.containsKey(d.service()),
-            "route '%s' names the unknown service '%s'",
-            r.name(),
-            d.service());
+    for (RouteEntry r : longestPrefixFirst) {
+      if (r instanceof RouteRule rule) {
+        checkServices(rule, servicesByName);
       }
-      rulesByHostBuilder.put(r.host(), r);
+      routesByHostBuilder.put(r.host(), r);
     }
-    ImmutableListMultimap<String, RouteRule> rulesByHost = rulesByHostBuilder.build();
-    rulesByHost
+    ImmutableListMultimap<String, RouteEntry> routesByHost = routesByHostBuilder.build();
+    routesByHost
         .asMap()
-        .forEach((host, hostRules) -> checkDistinctPrefixes(host, ImmutableList.copyOf(hostRules)));
-    return new RoutingConfiguration(version, limits, servicesByName, rulesByHost);
+        .forEach((host, ofHost) -> checkDistinctPrefixes(host, ImmutableList.copyOf(ofHost)));
+    return new RoutingConfiguration(version, limits, servicesByName, routesByHost);
   }
 
   /** Returns the version; a higher one is newer. */
@@ -79,7 +78,7 @@
 
   /** Returns the number of routes. */
   public int routeCount() {
-    return rulesByHost.size();
+    return routesByHost.size();
   }
 
   /**
@@ -88,8 +87,8 @@
    * @param host host name in the request
    * @param path path of the request without the query
    */
-  public Optional<RouteRule> find(String host, String path) {
-    for (RouteRule r : rulesByHost.get(host)) {
+  public Optional<RouteEntry> find(String host, String path) {
+    for (RouteEntry r : routesByHost.get(host)) {
       if (path.startsWith(r.prefix())) {
         return Optional.of(r);
       }
@@ -97,8 +96,20 @@
     return Optional.empty();
   }
 
-  private static void checkDistinctPrefixes(String host, List<RouteRule> rules) {
-    long prefixes = rules.stream().map(RouteRule::prefix).distinct().count();
-    checkArgument(prefixes == rules.size(), "host '%s' has more than one route for a prefix", host);
+  private static void checkServices(
+      RouteRule rule, ImmutableMap<String, ServiceDescription> servicesByName) {
+    for (Destination d : rule.destinations()) {
+      checkArgument(
+          servicesByName.containsKey(d.service()),
+          "route '%s' names the unknown service '%s'",
+          rule.name(),
+          d.service());
+    }
+  }
+
+  private static void checkDistinctPrefixes(String host, List<RouteEntry> routes) {
+    long prefixes = routes.stream().map(RouteEntry::prefix).distinct().count();
+    checkArgument(
+        prefixes == routes.size(), "host '%s' has more than one route for a prefix", host);
   }
 }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
@@ -16,6 +16,7 @@
 import org.cowslipmoor.core.discovery.TargetDirectory;
 import org.cowslipmoor.core.fleet.FleetSize;
 import org.cowslipmoor.core.fleet.FleetState;
+import org.cowslipmoor.core.limit.MemoryBudget;
 import org.cowslipmoor.core.range.KeyCounts;
 import org.cowslipmoor.core.range.RangeEntry;
 import org.cowslipmoor.core.request.ResultCode;
@@ -38,6 +39,9 @@
   /** Time for which the host is considered to lag after a delayed task, and after its start. */
   private static final long LAG_PERIOD_NANOS = 3_000_000_000L;
 
+  /** Memory that the bodies of requests may occupy together. */
+  private static final long MAX_BODY_MEMORY_BYTES = 24 << 20;
+
   private final Supplier<StoreView> view;
   private final HttpConnections connections;
   private final HeaderCodec headerCodec;
@@ -52,6 +56,7 @@
   private final RetryCounts retryCounts = new RetryCounts(System.nanoTime());
   private final Map<String, Long> drainingSince = new HashMap<>();
   private final CallerConnections callers = new CallerConnections();
+  private final MemoryBudget bodyMemory = MemoryBudget.create(MAX_BODY_MEMORY_BYTES);
   private FleetState fleet = FleetState.UNKNOWN;
   private boolean member;
   private boolean stopping;
@@ -82,6 +87,7 @@
     gauge(GatewayMetric.RANGE_TABLE, () -> view.get().table().version());
     gauge(GatewayMetric.TARGETS, () -> view.get().directory().all().size());
     gauge(GatewayMetric.CONFIGURATION, this::configurationVersion);
+    gauge(GatewayMetric.BODY_MEMORY, bodyMemory::reservedBytes);
   }
 
   /** Applies a new view of the store. */
@@ -168,6 +174,10 @@
     rejecting = true;
   }
 
+  MemoryBudget bodyMemory() {
+    return bodyMemory;
+  }
+
   boolean isRejecting() {
     return rejecting;
   }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
@@ -18,9 +18,11 @@
 import org.cowslipmoor.core.admission.RequestRequirements;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.request.ResultCode;
+import org.cowslipmoor.core.routing.RouteEntry;
 import org.cowslipmoor.core.routing.RouteRule;
 import org.cowslipmoor.core.routing.RoutingConfiguration;
 import org.cowslipmoor.core.routing.ServiceDescription;
+import org.cowslipmoor.core.routing.UnusableRoute;
 import org.cowslipmoor.daemon.caller.Rejections;
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
@@ -62,6 +64,9 @@
   /** Time after which a caller should retry, at another host, when this host is stopping. */
   private static final long STOP_RETRY_AFTER_NANOS = 50 * NANOS_PER_MILLI;
 
+  /** Time after which a caller should retry when the host had no memory for the body. */
+  private static final long BODY_MEMORY_RETRY_AFTER_NANOS = 200 * NANOS_PER_MILLI;
+
   private final Gateway gateway;
   private final ServiceRequestContext ctx;
   private final HttpRequest request;
@@ -136,12 +141,16 @@
       reject(ResultCode.MALFORMED_REQUEST, String.valueOf(e.getMessage()), 0);
       return;
     }
-    Optional<RouteRule> found = configuration.find(host(), ctx.rawPath());
+    Optional<RouteEntry> found = configuration.find(host(), ctx.rawPath());
     if (found.isEmpty()) {
       reject(ResultCode.UNKNOWN_ROUTE, "no route matches", 0);
       return;
     }
-    startRouted(configuration, found.get(), head);
+    switch (found.get()) {
+      case RouteRule rule -> startRouted(configuration, rule, head);
+      case UnusableRoute unusable ->
+          reject(ResultCode.UNUSABLE_ROUTE, "the route can't be handled: " + unusable.reason(), 0);
+    }
   }
 
   private void startRouted(
@@ -170,7 +179,8 @@
       reject(ResultCode.BODY_TOO_LARGE, "the body is longer than allowed", 0);
       return;
     }
-    RequestBody b = new RequestBody(configuration.limits().maxBodyBytes(), this);
+    RequestBody b =
+        new RequestBody(configuration.limits().maxBodyBytes(), gateway.bodyMemory(), this);
     body = b;
     b.read(request, ctx.eventLoop().withoutContext());
   }
@@ -204,6 +214,14 @@
     reject(ResultCode.BODY_TOO_LARGE, "the body is longer than allowed", 0);
   }
 
+  @Override
+  public void onNoMemory() {
+    reject(
+        ResultCode.OVERLOADED,
+        "the host has no memory for the request's body",
+        BODY_MEMORY_RETRY_AFTER_NANOS);
+  }
+
   @Override
   public void onAborted() {
     abort();
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayMetric.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayMetric.java
@@ -12,6 +12,7 @@
   IN_PROGRESS("cowslipmoor_requests_in_progress", "Requests in progress."),
   CONFIGURATION("cowslipmoor_configuration_version", "Version of the configuration in force."),
   RANGE_TABLE("cowslipmoor_range_table_version", "Version of the table of key ranges in force."),
+  BODY_MEMORY("cowslipmoor_body_memory_bytes", "Memory reserved for the bodies of requests."),
   TARGETS("cowslipmoor_targets", "Targets that are known."),
   COORDINATOR("cowslipmoor_coordinator", "Whether this host coordinates: 1 or 0.");
 
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/RequestBody.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/RequestBody.java
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.List;
+import org.cowslipmoor.core.limit.MemoryBudget;
 import org.cowslipmoor.daemon.http.Exchange;
 import org.jspecify.annotations.Nullable;
 import org.reactivestreams.Subscriber;
@@ -21,11 +22,20 @@
   /** Maximum length of a body that is buffered. */
   private static final int MAX_BUFFERED_BYTES = 65_536;
 
+  /**
+   * Maximum number of bytes that one body occupies: the buffered bytes, twice as many received but
+   * not yet taken from the caller's connection, and those being written to the target.
+   */
+  private static final long MAX_HELD_BYTES = 4 * MAX_BUFFERED_BYTES;
+
   private final Listener listener;
+  private final MemoryBudget memory;
   private final List<byte[]> buffered = new ArrayList<>();
   private final long maxLengthBytes;
   private @Nullable Subscription subscription;
   private @Nullable Exchange targetExchange;
+  private long expectedBytes = MAX_HELD_BYTES;
+  private long reservedBytes;
   private long receivedBytes;
   private boolean ready;
   private boolean complete;
@@ -39,24 +49,38 @@
     /** Called if the body exceeds the maximum length. */
     void onTooLong();
 
+    /** Called if the host has no memory for the body at present. */
+    void onNoMemory();
+
     /** Called if the caller aborts the request. */
     void onAborted();
   }
 
-  /** Creates an unread body of at most {@code maxLengthBytes} bytes. */
-  RequestBody(long maxLengthBytes, Listener listener) {
+  /**
+   * Creates an unread body.
+   *
+   * @param maxLengthBytes maximum length of the body
+   * @param memory bounds the memory of all bodies; the body's share is released when it is
+   *     discarded
+   */
+  RequestBody(long maxLengthBytes, MemoryBudget memory, Listener listener) {
     this.maxLengthBytes = maxLengthBytes;
+    this.memory = memory;
     this.listener = listener;
   }
 
   /** Starts to read the body of a request; may call the listener immediately. */
   void read(HttpRequest request, EventLoop loop) {
+    long length = request.headers().contentLength();
+    if (length >= 0) {
+      expectedBytes = Math.min(length, MAX_HELD_BYTES);
+    }
     request.subscribe(this, loop);
   }
 
   /** Returns whether the whole body is buffered, so that it can be sent more than once. */
   boolean isReplayable() {
-    return complete && receivedBytes <= MAX_BUFFERED_BYTES;
+    return complete && targetExchange == null;
   }
 
   /** Returns the number of bytes received so far. */
@@ -87,6 +111,9 @@
       return;
     }
     ended = true;
+    buffered.clear();
+    memory.release(reservedBytes);
+    reservedBytes = 0;
     if (subscription != null && !complete) {
       subscription.request(Long.MAX_VALUE);
     }
@@ -113,6 +140,10 @@
         listener.onTooLong();
         return;
       }
+      if (!reserveMemory()) {
+        listener.onNoMemory();
+        return;
+      }
       Exchange exchange = targetExchange;
       if (exchange != null) {
         // Requests the next piece after this one has been written: backpressure from the target.
@@ -131,7 +162,6 @@
   @Override
   public void onError(Throwable t) {
     if (!ended) {
-      ended = true;
       listener.onAborted();
     }
   }
@@ -150,6 +180,13 @@
     }
   }
 
+  private boolean reserveMemory() {
+    if (reservedBytes == 0 && memory.tryReserve(expectedBytes)) {
+      reservedBytes = expectedBytes;
+    }
+    return reservedBytes > 0;
+  }
+
   private void notifyReady() {
     ready = true;
     listener.onReady();
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/LoopbackGateway.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/LoopbackGateway.java
@@ -32,6 +32,7 @@
 import org.cowslipmoor.core.routing.RouteRule;
 import org.cowslipmoor.core.routing.RoutingConfiguration;
 import org.cowslipmoor.core.routing.ServiceDescription;
+import org.cowslipmoor.core.routing.UnusableRoute;
 import org.cowslipmoor.daemon.coordination.StoreView;
 import org.cowslipmoor.daemon.coordination.TargetCommands;
 import org.junit.jupiter.api.AfterEach;
@@ -93,6 +94,8 @@
         List.of(
             rule("/safe/", RequestKind.SAFE, "sheets"),
             rule("/once/", RequestKind.UNSAFE, "sheets"),
+            rule("/upload/", RequestKind.UPLOAD, "sheets"),
+            new UnusableRoute("later", "shop.example", "/safe/later/", "its kind is not known"),
             rule("/keyed/", RequestKind.SAFE, "stock"),
             rule("/keyed-once/", RequestKind.UNSAFE, "stock")));
   }
