Spread the requests of all hosts over targets by water-filling

Cause: each host sent its few requests to the target that looked best, by reports that all hosts share and that are late. Change: a host distributes what all hosts are expected to send since the last reports so that response times become equal, and draws its own request from that distribution. What exceeds all room is rejected at once. The test that named the extrapolation of own requests keeps its assertion under the name of what it shows; the new one takes its claim for 19 to 1,000 hosts.

--- a/core/src/main/java/org/cowslipmoor/core/admission/TargetLoadBalancer.java
+++ b/core/src/main/java/org/cowslipmoor/core/admission/TargetLoadBalancer.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.cowslipmoor.core.balance.TargetHealth;
+import org.cowslipmoor.core.balance.WaterFilling;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.fleet.FleetState;
 import org.cowslipmoor.core.fleet.HostReport;
@@ -20,11 +21,12 @@
  * Estimates the load and service time of each target from one host's point of view, and assigns
  * requests to targets by these estimates. Not thread-safe; times are nanoseconds.
  *
- * <p>A request is sent to the target with the shortest expected response time: targets differ in
+ * <p>Requests are distributed so that their expected response times become equal: targets differ in
  * speed, are slower while cold, and also serve requests of other hosts, which are visible only
- * through the loads that responses report. A request that no target is expected to serve in time is
- * rejected immediately, since queueing it beyond its objective would delay the requests behind it
- * as well.
+ * through the loads that responses and the fleet's state report. Since all hosts see these reports,
+ * and late, a target is chosen at random by its share of what all hosts are expected to send since
+ * then; see {@link WaterFilling}. A request that no target is expected to serve in time is rejected
+ * immediately, since queueing it beyond its objective would delay the requests behind it as well.
  */
 public final class TargetLoadBalancer {
   private static final long NANOS_PER_MILLI = 1_000_000L;
@@ -41,8 +43,11 @@
   /** Age beyond which a reported load of the other hosts is ignored. */
   private static final long MAX_OTHERS_AGE_NANOS = 1_500 * NANOS_PER_MILLI;
 
-  /** Age of the hosts' aggregated reports on arrival. */
-  private static final long FLEET_REPORT_AGE_NANOS = 150 * NANOS_PER_MILLI;
+  /**
+   * Mean age of the hosts' aggregated reports on arrival: hosts report four times a second, and the
+   * coordinator passes the aggregate on as often.
+   */
+  private static final long FLEET_REPORT_AGE_NANOS = 250 * NANOS_PER_MILLI;
 
   /** Maximum number of requests queued at a target per slot. */
   private static final double MAX_QUEUED_PER_SLOT = 2;
@@ -88,7 +93,6 @@
   private final TargetHealth health = TargetHealth.create(MAX_EJECTED_SHARE);
   private final Map<String, TargetStats> statsByTarget = new HashMap<>();
   private final Map<String, ServiceStats> statsByService = new HashMap<>();
-  private int hosts = 1;
   private ImmutableMap<String, Integer> connectionShares = ImmutableMap.of();
 
   private TargetLoadBalancer(String dataCentre, RandomGenerator random) {
@@ -143,34 +147,34 @@
         health.usable(targets, DiscoveredTarget::id, now).stream()
             .filter(t -> !excluded.contains(t.id()))
             .toList();
-    DiscoveredTarget best = null;
-    double bestCostNanos = Double.MAX_VALUE;
-    int ties = 0;
+    if (usable.isEmpty()) {
+      return new Placement.NoTarget();
+    }
+    WaterFilling filling = WaterFilling.create(usable.size());
+    double requests = 1;
     for (DiscoveredTarget t : usable) {
-      if (!hasCapacity(t, now)) {
-        continue;
-      }
-      double costNanos = extrapolatedQueueNanos(t, now) + serviceNanos(t) + crossDataCentreNanos(t);
-      if (costNanos < bestCostNanos) {
-        best = t;
-        bestCostNanos = costNanos;
-        ties = 1;
-      } else if (costNanos == bestCostNanos) {
-        ties++;
-        best = random.nextInt(ties) == 0 ? t : best;
-      }
+      double remaining = remainingLoad(t, now);
+      requests += reportedLoad(t) - remaining;
+      double room = hasConnection(t) ? Math.max(0, maxLoad(t) - remaining) : 0;
+      filling.add(remaining, room, t.slots(), serviceNanos(t), crossDataCentreNanos(t));
     }
-    if (best == null) {
-      return usable.isEmpty()
-          ? new Placement.NoTarget()
-          : new Placement.Reject(retryAfterNanos(usable, now));
+    filling.distribute(requests);
+    int chosen = filling.choose(random);
+    if (chosen < 0) {
+      return new Placement.Reject(retryAfterNanos(usable, now));
     }
-    return admit(best, requirements, now);
+    // The request itself is one of those that were distributed.
+    return admit(usable.get(chosen), Math.max(0, filling.load(chosen) - 1), requirements, now);
   }
 
   /** Decides whether a request can be served in time by the only target that may serve it. */
   public Placement admit(DiscoveredTarget target, RequestRequirements requirements, long now) {
-    double queueNanos = queueNanos(target, now);
+    return admit(target, load(target, now), requirements, now);
+  }
+
+  private Placement admit(
+      DiscoveredTarget target, double load, RequestRequirements requirements, long now) {
+    double queueNanos = waitNanos(target, load);
     double serviceNanos = serviceNanos(target);
     ServiceStats m = serviceStats(target.service());
     m.recordObjective(requirements.objectiveNanos(), now);
@@ -178,7 +182,7 @@
         queueNanos > 0 && queueNanos > maxQueueNanos(m, serviceNanos, requirements, now);
     boolean missesDeadline =
         queueNanos > 0 && queueNanos + serviceNanos > requirements.deadlineNanos();
-    if (!hasCapacity(target, now) || exceedsQueueLimit || missesDeadline) {
+    if (!hasConnection(target) || load >= maxLoad(target) || exceedsQueueLimit || missesDeadline) {
       return new Placement.Reject(retryAfterNanos(List.of(target), now));
     }
     return new Placement.Send(target, (long) (queueNanos + serviceNanos));
@@ -275,7 +279,6 @@
 
   /** Applies the state that is aggregated from the reports of all hosts. */
   public void onFleetState(FleetState fleet, long now) {
-    hosts = fleet.hosts();
     fleet
         .targets()
         .forEach(
@@ -284,7 +287,7 @@
               s.fleetServiceNanos = t.serviceNanos();
               // A load that the target reported recently is newer than the aggregated reports.
               if (s.othersReportedAt == 0 || now - s.othersReportedAt >= FLEET_REPORT_AGE_NANOS) {
-                s.recordOthers(t.inFlight() - s.reportedInFlight, s.reportedInFlight, now);
+                s.recordOthers(t.inFlight() - s.reportedInFlight, FLEET_REPORT_AGE_NANOS, now);
               }
             });
   }
@@ -310,17 +313,6 @@
     return waitNanos(target, load(target, now));
   }
 
-  /**
-   * Returns the expected time in nanoseconds that a request waits for a slot, assuming that each
-   * other host has sent the target as many requests since the last report as this host has. Without
-   * this assumption, all hosts would choose the same target until the next report.
-   */
-  private double extrapolatedQueueNanos(DiscoveredTarget target, long now) {
-    TargetStats s = stats(target);
-    double unreported = (hosts - 1) * (double) Math.max(0, s.inFlight - s.ownWhenReported);
-    return waitNanos(target, load(target, now) + unreported);
-  }
-
   private double waitNanos(DiscoveredTarget target, double load) {
     double ahead = load + 1 - target.slots();
     return ahead <= 0 ? 0 : ahead * serviceNanos(target) / target.slots();
@@ -331,7 +323,7 @@
       return;
     }
     TargetStats s = stats(target);
-    s.recordOthers(load.running() + load.waiting() - s.inFlight, s.inFlight, now);
+    s.recordOthers(load.running() + load.waiting() - s.inFlight, 0, now);
   }
 
   /** Returns the requests in progress at a target; those of other hosts as last reported. */
@@ -341,10 +333,31 @@
     return s.inFlight + (fresh ? s.othersInFlight : 0);
   }
 
-  private boolean hasCapacity(DiscoveredTarget target, long now) {
+  /** Returns the requests in progress at a target, with those of other hosts at any age. */
+  private double reportedLoad(DiscoveredTarget target) {
+    TargetStats s = stats(target);
+    return s.inFlight + s.othersInFlight;
+  }
+
+  /**
+   * Returns the requests that are still in progress at a target of those that were reported: the
+   * other hosts' requests have ended at the rate at which the target serves them.
+   */
+  private double remainingLoad(DiscoveredTarget target, long now) {
+    TargetStats s = stats(target);
+    double responseNanos = serviceNanos(target) + waitNanos(target, reportedLoad(target) - 1);
+    long ageNanos = now - s.othersReportedAt + s.othersAgeNanos;
+    return s.inFlight + s.othersInFlight * Math.exp(-ageNanos / responseNanos);
+  }
+
+  /** Returns whether this host may open another connection to a target. */
+  private boolean hasConnection(DiscoveredTarget target) {
     return stats(target).inFlight
-            < connectionShares.getOrDefault(target.service(), MAX_IN_FLIGHT_PER_TARGET)
-        && load(target, now) < target.slots() * (1 + MAX_QUEUED_PER_SLOT);
+        < connectionShares.getOrDefault(target.service(), MAX_IN_FLIGHT_PER_TARGET);
+  }
+
+  private static double maxLoad(DiscoveredTarget target) {
+    return target.slots() * (1 + MAX_QUEUED_PER_SLOT);
   }
 
   private double crossDataCentreNanos(DiscoveredTarget target) {
@@ -377,8 +390,8 @@
     /** Requests in progress of other hosts, as last reported. */
     int othersInFlight;
 
-    /** Requests in progress of this host at the time of that report. */
-    int ownWhenReported;
+    /** Age of that report on arrival. */
+    long othersAgeNanos;
 
     long othersReportedAt;
     double queueNanosAtSend;
@@ -387,9 +400,9 @@
     long newServiceNanos;
     long fleetServiceNanos;
 
-    void recordOthers(int requests, int own, long now) {
+    void recordOthers(int requests, long ageNanos, long now) {
       othersInFlight = Math.max(0, requests);
-      ownWhenReported = own;
+      othersAgeNanos = ageNanos;
       othersReportedAt = now;
     }
 
--- a/core/src/test/java/org/cowslipmoor/core/admission/TargetLoadBalancerTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/admission/TargetLoadBalancerTest.java
@@ -4,11 +4,16 @@
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
@@ -17,6 +22,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 final class TargetLoadBalancerTest {
   private static final long NANOS_PER_MILLI = 1_000_000L;
@@ -127,9 +133,38 @@
     assertThat(balancer.admit(t, lenient, NOW), instanceOf(Placement.Reject.class));
   }
 
-  /** Guards against hosts that all choose the target with the lowest load in the last report. */
+  /**
+   * Guards against hosts that all choose the target with the lowest load in the last report, which
+   * is the same for all of them.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {19, 102, 1000})
+  void hostsWithTheSameReportSpreadTheirRequests(int hosts) {
+    ImmutableMap.Builder<String, FleetState.TargetState> loads = ImmutableMap.builder();
+    List<DiscoveredTarget> targets = new ArrayList<>();
+    for (int i = 0; i < hosts; i++) {
+      targets.add(target("t" + i, "cairo"));
+      loads.put("t" + i, new FleetState.TargetState(i % 10 == 0 ? 0 : 2, 50 * NANOS_PER_MILLI));
+    }
+    FleetState state =
+        new FleetState(hosts, loads.buildOrThrow(), 0, ImmutableList.of(), ImmutableSet.of(), true);
+    Map<String, Integer> received = new HashMap<>();
+    int unassigned = 0;
+    for (int h = 0; h < hosts; h++) {
+      TargetLoadBalancer host = TargetLoadBalancer.create("cairo", new SplittableRandom(h));
+      host.onFleetState(state, NOW);
+      if (host.assign(targets, Set.of(), REQUIREMENTS, NOW) instanceof Placement.Send send) {
+        received.merge(send.target().id(), 1, Integer::sum);
+      } else {
+        unassigned++;
+      }
+    }
+    assertThat(unassigned, is(0));
+    assertThat(Collections.max(received.values()), lessThanOrEqualTo(8));
+  }
+
   @Test
-  void ownUnreportedRequestsAreExtrapolatedToTheOtherHosts() {
+  void ownRequestIsSeenBeforeTheNextReport() {
     balancer.onFleetState(
         new FleetState(
             10,
--- a/experiment/src/main/java/org/cowslipmoor/experiment/Experiment.java
+++ b/experiment/src/main/java/org/cowslipmoor/experiment/Experiment.java
@@ -35,6 +35,7 @@
             Help.class,
             InvariantsCommand.class,
             BalanceCommand.class,
+            PlacementCommand.class,
             OverloadCommand.class,
             FailuresCommand.class,
             CapacityCommand.class)
