Read the settings file again while a host runs

Cause: a host read its settings at its start only. SIGHUP was logged, and before the end of the start it ended the process, as nothing handled it until the host had its configuration (up to 2.5 s). A change without a signal went unnoticed, so that hosts differed until their next restart. Age, hash, rejections and pending settings are metrics; /settings on the metrics port shows what is in force.

--- a/core/src/main/java/org/cowslipmoor/core/fleet/StorePollScheduler.java
+++ b/core/src/main/java/org/cowslipmoor/core/fleet/StorePollScheduler.java
@@ -31,8 +31,8 @@
   /** Limit on doublings of the retry delay; every call is charged, also a rejected one. */
   private static final int MAX_RETRY_DOUBLINGS = 2;
 
-  private final long maxAgeNanos;
   private final RandomGenerator random;
+  private long maxAgeNanos;
   private boolean relayAvailable;
   private long relayedAt;
   private long confirmedAt;
@@ -71,6 +71,12 @@
     return new StorePollScheduler(maxAgeNanos, random, now);
   }
 
+  /** Sets the age from which on relayed updates are not relied on, above 0. */
+  public void onMaxAge(long nanos) {
+    checkArgument(nanos > 0, "nanos must be above 0, but is %s", nanos);
+    maxAgeNanos = nanos;
+  }
+
   /** Records whether another host announces that it relays store updates. */
   public void onRelayAvailable(boolean isAvailable) {
     relayAvailable = isAvailable;
--- a/core/src/main/java/org/cowslipmoor/core/request/SharedRetryBudget.java
+++ b/core/src/main/java/org/cowslipmoor/core/request/SharedRetryBudget.java
@@ -36,8 +36,8 @@
   /** Share of the slack that all hosts together hold if all of them have just started. */
   private static final double INITIAL_SHARE = 0.15;
 
-  private final Limits limits;
   private final RandomGenerator random;
+  private Limits limits;
   private int hosts;
   private double tokens;
   private long lastAddedAt;
@@ -78,6 +78,12 @@
     return new SharedRetryBudget(limits, hosts, random, now);
   }
 
+  /** Sets the limits; tokens beyond those that a smaller limit allows are dropped. */
+  public void onLimits(Limits newLimits) {
+    limits = newLimits;
+    tokens = Math.min(tokens, maxTokens());
+  }
+
   /** Sets the number of hosts that share the retries, at least 1. */
   public void onHostCount(int hostCount) {
     checkArgument(hostCount >= 1, "hostCount must be at least 1, but is %s", hostCount);
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
@@ -49,7 +49,6 @@
   private final SplitSelector splits;
   private final KeyCounts keyCounts;
   private final MetricRegistry metrics;
-  private final SharedRetryBudget.Limits retryLimits;
   private final RandomGenerator random;
   private final FleetSize fleetSize = FleetSize.create(System.nanoTime());
   private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
@@ -57,6 +56,7 @@
   private final Map<String, Long> drainingSince = new HashMap<>();
   private final CallerConnections callers = new CallerConnections();
   private final MemoryBudget bodyMemory = MemoryBudget.create(MAX_BODY_MEMORY_BYTES);
+  private SharedRetryBudget.Limits retryLimits;
   private FleetState fleet = FleetState.UNKNOWN;
   private boolean member;
   private boolean stopping;
@@ -90,6 +90,12 @@
     gauge(GatewayMetric.BODY_MEMORY, bodyMemory::reservedBytes);
   }
 
+  /** Applies new limits on retries, from the next request on. */
+  public void onRetryLimits(SharedRetryBudget.Limits limits) {
+    retryLimits = limits;
+    budgets.values().forEach(budget -> budget.onLimits(limits));
+  }
+
   /** Applies a new view of the store. */
   public void onView(StoreView newView, long now) {
     Map<String, DiscoveredTarget> all = newView.directory().all();
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -30,6 +30,9 @@
 import org.cowslipmoor.daemon.coordination.StoreView;
 import org.cowslipmoor.daemon.coordination.TargetCommands;
 import org.cowslipmoor.daemon.http.HttpConnections;
+import org.cowslipmoor.daemon.settings.GatewaySettings;
+import org.cowslipmoor.daemon.settings.SettingsMonitor;
+import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
 
 /**
@@ -38,6 +41,7 @@
  */
 public final class GatewayHost {
   private static final String METRICS_PATH = "/metrics";
+  private static final String SETTINGS_PATH = "/settings";
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
 
   /** Maximum idle time of a connection to a target that does not specify one. */
@@ -76,7 +80,6 @@
   /** Time before the end of the grace period that is reserved for the exit of the process. */
   private static final long EXIT_RESERVE_MILLIS = 500;
 
-  private final GatewaySettings settings;
   private final EventLoop loop;
   private final SharedStore store;
   private final Gateway gateway;
@@ -84,9 +87,12 @@
   private final KeyCounts keyCounts;
   private final FleetExchange fleet;
   private final TargetLoadBalancer loadBalancer;
+  private final MetricRegistry metrics = new MetricRegistry();
   private final MetricsPage metricsPage;
   private final Server server;
   private final CompletableFuture<Void> configured = new CompletableFuture<>();
+  private volatile GatewaySettings settings;
+  private volatile @Nullable SettingsMonitor settingsMonitor;
   private StoreView view = StoreView.unknown();
   private volatile boolean ready;
   private boolean stopping;
@@ -103,15 +109,9 @@
     this.settings = settings;
     this.loop = loop;
     this.store = store;
-    MetricRegistry metrics = new MetricRegistry();
     HttpConnections connections = new HttpConnections(loop, CONNECT_TIMEOUT, TARGET_IDLE_TIMEOUT);
     loadBalancer = TargetLoadBalancer.create(settings.dataCentre(), random);
     keyCounts = new KeyCounts();
-    SharedRetryBudget.Limits retries =
-        new SharedRetryBudget.Limits(
-            settings.retryRatio(),
-            settings.retrySlack(),
-            TimeUnit.MILLISECONDS.toNanos(settings.retryWindowMillis()));
     gateway =
         new Gateway(
             () -> view,
@@ -119,7 +119,7 @@
             headerCodec,
             loadBalancer,
             keyCounts,
-            retries,
+            retryLimits(settings),
             random,
             metrics);
     coordination =
@@ -194,6 +194,33 @@
     return host;
   }
 
+  /** Shows the settings of a monitor under {@code /settings} and in the metrics. */
+  public void showSettings(SettingsMonitor monitor) {
+    settingsMonitor = monitor;
+    metrics.registerGauge(
+        GatewayMetric.SETTINGS_AGE.name(),
+        () -> TimeUnit.NANOSECONDS.toSeconds(monitor.age(System.nanoTime())));
+    metrics.registerGauge(GatewayMetric.SETTINGS_REJECTED.name(), monitor::rejections);
+    metrics.registerGauge(GatewayMetric.SETTINGS_CONTENT.name(), monitor::contentHash);
+    metrics.registerGauge(GatewayMetric.SETTINGS_PENDING.name(), () -> monitor.pending().size());
+  }
+
+  /**
+   * Applies changed settings, of which those that need a restart are ignored. Requests in progress
+   * are not affected. Must be called on the host's event loop.
+   */
+  public void onSettings(GatewaySettings newSettings) {
+    settings = newSettings;
+    gateway.onRetryLimits(retryLimits(newSettings));
+  }
+
+  private static SharedRetryBudget.Limits retryLimits(GatewaySettings settings) {
+    return new SharedRetryBudget.Limits(
+        settings.retryRatio(),
+        settings.retrySlack(),
+        TimeUnit.MILLISECONDS.toNanos(settings.retryWindowMillis()));
+  }
+
   /**
    * Stops the host gracefully: reports it as not ready, resigns as coordinator, serves the requests
    * that still arrive from the load balancer and on open connections, and returns when none is in
@@ -321,9 +348,15 @@
   }
 
   private HttpResponse serveMetrics(HttpRequest request) {
-    return request.path().equals(METRICS_PATH)
-        ? HttpResponse.of(metricsPage.render())
-        : HttpResponse.of(HttpStatus.NOT_FOUND);
+    SettingsMonitor monitor = settingsMonitor;
+    return switch (request.path()) {
+      case METRICS_PATH -> HttpResponse.of(metricsPage.render());
+      case SETTINGS_PATH ->
+          monitor == null
+              ? HttpResponse.of(HttpStatus.NOT_FOUND)
+              : HttpResponse.of(monitor.describe(System.nanoTime()));
+      default -> HttpResponse.of(HttpStatus.NOT_FOUND);
+    };
   }
 
   private static InetSocketAddress parseAddress(String text) {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayMetric.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayMetric.java
@@ -13,6 +13,10 @@
   CONFIGURATION("cowslipmoor_configuration_version", "Version of the configuration in force."),
   RANGE_TABLE("cowslipmoor_range_table_version", "Version of the table of key ranges in force."),
   BODY_MEMORY("cowslipmoor_body_memory_bytes", "Memory reserved for the bodies of requests."),
+  SETTINGS_AGE("cowslipmoor_settings_age_seconds", "Time since the settings are in force."),
+  SETTINGS_REJECTED("cowslipmoor_settings_rejected_total", "Settings files that were rejected."),
+  SETTINGS_CONTENT("cowslipmoor_settings_content", "Hash of the settings file in force."),
+  SETTINGS_PENDING("cowslipmoor_settings_pending", "Changed settings that wait for a restart."),
   TARGETS("cowslipmoor_targets", "Targets that are known."),
   COORDINATOR("cowslipmoor_coordinator", "Whether this host coordinates: 1 or 0.");
 
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/LoopbackGateway.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/LoopbackGateway.java
@@ -35,6 +35,7 @@
 import org.cowslipmoor.core.routing.UnusableRoute;
 import org.cowslipmoor.daemon.coordination.StoreView;
 import org.cowslipmoor.daemon.coordination.TargetCommands;
+import org.cowslipmoor.daemon.settings.GatewaySettings;
 import org.junit.jupiter.api.AfterEach;
 
 /** Base of tests that start a host with scripted targets over loopback. */
@@ -128,28 +129,33 @@
     }
   }
 
+  /** Returns the settings of the host, whose ports must have been chosen. */
+  GatewaySettings settings() {
+    return new GatewaySettings(
+        "host-1",
+        "cairo",
+        "127.0.0.1:" + ports[0],
+        "127.0.0.1:" + ports[1],
+        "127.0.0.1:" + ports[2],
+        "/ready",
+        "127.0.0.1:" + ports[3],
+        "127.0.0.1:9",
+        1_500,
+        10_000,
+        2_000,
+        600,
+        0.2,
+        100,
+        10_000,
+        1e8,
+        1);
+  }
+
   WebClient start(StoreView view) throws Exception {
     choosePorts();
-    GatewaySettings settings =
-        new GatewaySettings(
-            "host-1",
-            "cairo",
-            "127.0.0.1:" + ports[0],
-            "127.0.0.1:" + ports[1],
-            "127.0.0.1:" + ports[2],
-            "/ready",
-            "127.0.0.1:" + ports[3],
-            1_500,
-            10_000,
-            600,
-            0.2,
-            100,
-            10_000,
-            1e8,
-            1);
     host =
         GatewayHost.start(
-            settings,
+            settings(),
             group,
             group.next(),
             new FixedStore(view, storeResponse),
