Reject requests that could outlast a planned stop

Cause: a stopping host took requests until 2.3 s before the end of its grace period, however long they might take. Requests of 2.5 s, taken up to then, were cut without an answer, among them those that may not be repeated. Change: while it stops, a host takes a request only if its deadline or the route's timeout passes before the host ends; others are rejected as not run, with Retry-After, so that another host runs them.

--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
@@ -60,7 +60,7 @@
   private FleetState fleet = FleetState.UNKNOWN;
   private boolean member;
   private boolean stopping;
-  private boolean rejecting;
+  private long stopEndsAt;
   private int inProgress;
   private long laggingUntil = System.nanoTime() + LAG_PERIOD_NANOS;
 
@@ -150,9 +150,15 @@
     return member;
   }
 
-  /** Closes each connection of a caller after its next response, because the host is stopping. */
-  public void stop() {
+  /**
+   * Starts to stop: closes each connection of a caller after its next response, and rejects new
+   * requests that could still be in progress when the host ends.
+   *
+   * @param endsAt the time at which the host ends
+   */
+  public void stop(long endsAt) {
     stopping = true;
+    stopEndsAt = endsAt;
   }
 
   /** Records the delay of a periodic task in nanoseconds. */
@@ -173,21 +179,15 @@
     return callers;
   }
 
-  /**
-   * Rejects new requests from now on, so that those in progress can end within the grace period.
-   */
-  public void rejectNewRequests() {
-    rejecting = true;
+  /** Returns whether a request with the given deadline ends before the host does. */
+  boolean endsBeforeHost(long deadlineAt) {
+    return !stopping || deadlineAt - stopEndsAt <= 0;
   }
 
   MemoryBudget bodyMemory() {
     return bodyMemory;
   }
 
-  boolean isRejecting() {
-    return rejecting;
-  }
-
   /** Returns the number of requests in progress. */
   public int inProgress() {
     return inProgress;
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
@@ -119,10 +119,6 @@
               onWriterDone(error);
               return null;
             });
-    if (gateway.isRejecting()) {
-      reject(ResultCode.STOPPING, "the host is about to end", STOP_RETRY_AFTER_NANOS);
-      return;
-    }
     RoutingConfiguration configuration = gateway.view().configuration();
     if (configuration == null) {
       reject(ResultCode.NO_CONFIGURATION, "no configuration is known yet", START_RETRY_AFTER_NANOS);
@@ -165,6 +161,10 @@
     }
     deadlineAt = startedAt + timeoutMillis * NANOS_PER_MILLI;
     objectiveAt = startedAt + rule.objectiveMillis() * NANOS_PER_MILLI;
+    if (!gateway.endsBeforeHost(deadlineAt)) {
+      reject(ResultCode.STOPPING, "the host may end before the request", STOP_RETRY_AFTER_NANOS);
+      return;
+    }
     deadlineTimer =
         ctx.eventLoop()
             .withoutContext()
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -70,13 +70,6 @@
    */
   private static final long BALANCER_LAG_MILLIS = 2_800;
 
-  /**
-   * Time before the end of the grace period at which the host starts to reject new requests, to
-   * complete those in progress. A load balancer without any other host keeps sending requests to
-   * one that is not ready.
-   */
-  private static final long FINAL_REQUESTS_MILLIS = 2_300;
-
   /** Time before the end of the grace period that is reserved for the exit of the process. */
   private static final long EXIT_RESERVE_MILLIS = 500;
 
@@ -228,22 +221,18 @@
    */
   public void stop() {
     final long startedAt = System.nanoTime();
+    final long timeoutMillis = settings.graceMillis() - EXIT_RESERVE_MILLIS;
     Logger.info("stopping");
     ready = false;
     loop.execute(
         () -> {
           stopping = true;
-          gateway.stop();
+          gateway.stop(startedAt + TimeUnit.MILLISECONDS.toNanos(timeoutMillis));
           fleet.endRelay();
           coordination.resign();
         });
     CompletableFuture<Void> idle = new CompletableFuture<>();
     loop.schedule(() -> completeWhenIdle(idle), BALANCER_LAG_MILLIS, TimeUnit.MILLISECONDS);
-    loop.schedule(
-        gateway::rejectNewRequests,
-        settings.graceMillis() - FINAL_REQUESTS_MILLIS,
-        TimeUnit.MILLISECONDS);
-    long timeoutMillis = settings.graceMillis() - EXIT_RESERVE_MILLIS;
     try {
       idle.get(timeoutMillis, TimeUnit.MILLISECONDS);
     } catch (TimeoutException e) {
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/LoopbackGateway.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/LoopbackGateway.java
@@ -51,6 +51,7 @@
 
   CompletableFuture<Void> storeResponse = CompletableFuture.completedFuture(null);
   GatewayHost host;
+  long graceMillis = 600;
   WebClient metrics;
   ImmutableSet<String> members = ImmutableSet.of("host-1");
 
@@ -143,7 +144,7 @@
         1_500,
         10_000,
         2_000,
-        600,
+        graceMillis,
         0.2,
         100,
         10_000,
