Check the shared retries while hosts have different limits

Cause: limits on retries can change while a host runs, so that hosts go by old and new ones for a while. Change: a property over 19, 102 and 300 hosts, of which a share from 0.3 to 0.7 has limits raised or lowered by half.

--- a/core/src/test/java/org/cowslipmoor/core/request/RetrySimulation.java
+++ b/core/src/test/java/org/cowslipmoor/core/request/RetrySimulation.java
@@ -17,7 +17,7 @@
   private static final long STEP_NANOS = 50 * NANOS_PER_MILLI;
   private static final int STEPS_PER_WINDOW = 200;
 
-  private final SharedRetryBudget.Limits limits;
+  private SharedRetryBudget.Limits limits;
   private final SplittableRandom random;
   private final List<SharedRetryBudget> hosts = new ArrayList<>();
   private final List<Integer> requests = new ArrayList<>();
@@ -35,6 +35,16 @@
     restartShare(1);
   }
 
+  /** Changes the limits of the first hosts; the bound is the larger of the old and the new one. */
+  void changeLimits(double share, double ratio, double slack) {
+    SharedRetryBudget.Limits changed =
+        new SharedRetryBudget.Limits(ratio, slack, limits.windowNanos());
+    hosts.subList(0, (int) (share * hosts.size())).forEach(host -> host.onLimits(changed));
+    limits =
+        new SharedRetryBudget.Limits(
+            Math.max(ratio, limits.ratio()), Math.max(slack, limits.slack()), limits.windowNanos());
+  }
+
   /** Replaces a host by a newly started one. */
   void restart(int host) {
     hosts.set(host, SharedRetryBudget.create(limits, hosts.size(), random, now));
--- a/core/src/test/java/org/cowslipmoor/core/request/SharedRetryBudgetProperties.java
+++ b/core/src/test/java/org/cowslipmoor/core/request/SharedRetryBudgetProperties.java
@@ -5,12 +5,15 @@
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import java.util.List;
 import java.util.SplittableRandom;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
 import org.cowslipmoor.core.request.RetrySimulation.Traffic;
 
 /** Checks the bound on the retries of all hosts together, for fleets of several sizes. */
@@ -56,6 +59,28 @@
     assertThat(simulation.maxExcess(), lessThanOrEqualTo(0.0));
   }
 
+  /**
+   * While the limits change, some hosts go by the old and some by the new ones. Together they stay
+   * within the larger bound, so that no host has to know the others' limits.
+   */
+  @Property(tries = 40, seed = "20261205")
+  void hostsWithDifferentLimitsStayWithinTheLargerBound(
+      @ForAll @IntRange(min = 0, max = 2) int size,
+      @ForAll boolean isRaised,
+      @ForAll @DoubleRange(min = 0.3, max = 0.7) double share,
+      @ForAll long seed) {
+    Fleet fleet =
+        List.of(new Fleet(19, 122, 63), new Fleet(102, 268, 303), new Fleet(300, 268, 900))
+            .get(size);
+    double factor = isRaised ? 1.5 : 0.5;
+    RetrySimulation simulation = new RetrySimulation(fleet.hosts(), RATIO, fleet.slack(), seed);
+    Traffic traffic = new Traffic(fleet.requestsPerSecond(), 1, MAX_RETRIES, fleet.hosts());
+    simulation.run(12 * NANOS_PER_SECOND, traffic);
+    simulation.changeLimits(share, RATIO * factor, fleet.slack() * factor);
+    simulation.run(24 * NANOS_PER_SECOND, traffic);
+    assertThat(simulation.maxExcess(), lessThanOrEqualTo(0.0));
+  }
+
   /**
    * Guards against a budget that denies retries although the bound allows them, so that requests
    * fail whose first target rejected them.
