Let a host that the store rejected catch up

Cause: a poll's timeout, 0.4 s for a host that is behind, included the transfer of the response. After 9 s of rejection the changes of 358 targets are over a megabyte, which takes a link of 20 Mbit/s longer; each further try had more to read. A host that is more than 3 s behind reads all items, which are fewer than the changes.

--- a/core/src/main/java/org/cowslipmoor/core/fleet/StorePollScheduler.java
+++ b/core/src/main/java/org/cowslipmoor/core/fleet/StorePollScheduler.java
@@ -22,6 +22,13 @@
   /** Time beyond a poll's hold time after which the poll times out. */
   private static final long TIMEOUT_MARGIN_NANOS = 400 * NANOS_PER_MILLI;
 
+  /**
+   * Age of the cached state from which on all items are read instead of the changes. Targets renew
+   * their entries about once a second; the history of a few seconds is longer than the items, the
+   * longer the larger the fleet is, and takes a small host's link longer than a poll may last.
+   */
+  private static final long MAX_WATCH_AGE_NANOS = 3_000 * NANOS_PER_MILLI;
+
   /** Delay after a response with updates, so that one poll returns changes in quick succession. */
   private static final long BATCH_DELAY_NANOS = 40 * NANOS_PER_MILLI;
 
@@ -50,8 +57,10 @@
    * @param holdNanos time for which the store may hold its response back while there are no
    *     changes, in nanoseconds
    * @param timeoutNanos time after which the poll times out, in nanoseconds
+   * @param readsAll whether to read all items at once instead of waiting for changes
    */
-  public record Poll(long number, long sentAt, long holdNanos, long timeoutNanos) {}
+  public record Poll(
+      long number, long sentAt, long holdNanos, long timeoutNanos, boolean readsAll) {}
 
   private StorePollScheduler(long maxAgeNanos, RandomGenerator random, long now) {
     this.maxAgeNanos = maxAgeNanos;
@@ -126,7 +135,13 @@
     inFlight = true;
     lastNumber++;
     long holdNanos = Math.max(NANOS_PER_MILLI, INTENDED_AGE_NANOS - Math.max(0, age(now)));
-    return Optional.of(new Poll(lastNumber, now, holdNanos, holdNanos + TIMEOUT_MARGIN_NANOS));
+    return Optional.of(
+        new Poll(
+            lastNumber,
+            now,
+            holdNanos,
+            holdNanos + TIMEOUT_MARGIN_NANOS,
+            age(now) > MAX_WATCH_AGE_NANOS));
   }
 
   /**
