Tell a replaced coordinator and its reporters of the successor

Cause: hosts that the store rejects know no address but their coordinator's. Change: a new coordinator tells its predecessor, whose address it knows, of its claim; the predecessor ends its term if the claim is newer than its own, and passes the update on to the hosts that report to it. All of them then report to the successor, which relays what they lack.

--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/Coordination.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/Coordination.java
@@ -148,6 +148,21 @@
     end.ifPresent(this::call);
   }
 
+  /**
+   * Handles another host's claim: if its term is newer, this host's lease has ended in the store.
+   * Returns whether it has.
+   */
+  public boolean onOtherCoordinator(long term) {
+    Leadership.Lease held = leadership.lease();
+    if (held == null || term <= held.term()) {
+      return false;
+    }
+    log.onTermEnd("another host is the coordinator");
+    leadership.onLeaseLost(now());
+    coordinator = null;
+    return true;
+  }
+
   /** Sets a listener that runs when the release of keys begins. */
   public void onReleaseStarted(Runnable listener) {
     onReleaseStarted = listener;
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
@@ -17,6 +17,7 @@
 import org.cowslipmoor.core.fleet.HostReport;
 import org.cowslipmoor.core.fleet.LinkBudget;
 import org.cowslipmoor.core.fleet.Membership;
+import org.cowslipmoor.core.fleet.PredecessorNotifier;
 import org.cowslipmoor.core.fleet.StoreUpdateRelay;
 import org.cowslipmoor.core.range.Leadership;
 import org.cowslipmoor.core.range.ServiceLoad;
@@ -52,6 +53,8 @@
   private final StoreUpdateRelay relay = StoreUpdateRelay.create();
   private final RelayLog log = new RelayLog(System.nanoTime());
   private final FleetAggregator aggregator = FleetAggregator.create(System.nanoTime());
+  private final PredecessorNotifier predecessorNotifier = new PredecessorNotifier();
+  private StoreView.@Nullable Coordinator predecessor;
   private @Nullable Membership membership;
   private boolean isWritingMembers;
   private long joinLoggedAt = System.nanoTime() - MIN_JOIN_LOG_INTERVAL_NANOS;
@@ -110,6 +113,9 @@
         budget.onBroadcast(broadcast(state(now)), now);
       }
       log.tick(now, aggregator.hosts(now).size(), links.unsentBytes());
+      predecessorNotifier
+          .nextNotice(aggregator.hosts(now).keySet(), now)
+          .ifPresent(to -> links.send(to, coordinatorUpdate()));
       return;
     }
     membership = null;
@@ -130,9 +136,29 @@
   /** Applies a change of the store. */
   public void onView(StoreView newView) {
     aggregator.retain(newView.directory().all().keySet());
+    StoreView.Coordinator c = newView.coordinator();
+    if (c != null && !c.host().equals(host)) {
+      onOtherCoordinator(c);
+    }
     relay();
   }
 
+  private void onOtherCoordinator(StoreView.Coordinator c) {
+    predecessor = c;
+    predecessorNotifier.onOtherCoordinator(c.host());
+    if (coordination.onOtherCoordinator(c.term())) {
+      // Hosts that can't reach the store still report to this one.
+      Envelope frame = coordinatorUpdate();
+      aggregator.hosts(System.nanoTime()).keySet().stream()
+          .filter(other -> !other.equals(host))
+          .forEach(other -> links.send(other, frame));
+    }
+  }
+
+  private Envelope coordinatorUpdate() {
+    return Envelope.newBuilder().setStoreNews(store.coordinatorUpdate()).build();
+  }
+
   /**
    * Relays new store updates, and announces the key ranges that are being revoked; must be called
    * every few tens of milliseconds.
@@ -286,7 +312,9 @@
   }
 
   private Optional<InetSocketAddress> linkAddress(String member) {
-    StoreView.Coordinator c = view.get().coordinator();
+    StoreView.Coordinator current = view.get().coordinator();
+    StoreView.Coordinator c =
+        current != null && current.host().equals(member) ? current : predecessor;
     if (c == null || !c.host().equals(member)) {
       return Optional.empty();
     }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/SharedStore.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/SharedStore.java
@@ -38,6 +38,12 @@
   /** Returns the changes after a revision, or the whole state if that is 0. */
   StoreNews updatesSince(long revision);
 
+  /**
+   * Returns the update that names the coordinator, without the changes before it. A host that
+   * applies it does not count as current.
+   */
+  StoreNews coordinatorUpdate();
+
   /** Applies store updates that another host relays. */
   void onRelayedUpdates(StoreNews updates);
 
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/StoreView.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/StoreView.java
@@ -36,8 +36,9 @@
    *
    * @param host its id
    * @param linkAddress where it accepts links from other hosts, as {@code ip:port}
+   * @param term number of its leadership term: the store's revision of its claim
    */
-  public record Coordinator(String host, String linkAddress) {}
+  public record Coordinator(String host, String linkAddress, long term) {}
 
   /** Returns the view of a host that has not read the store. */
   public static StoreView unknown() {
--- a/daemon/src/test/java/org/cowslipmoor/daemon/coordination/CoordinationTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/coordination/CoordinationTest.java
@@ -7,25 +7,18 @@
 import static org.hamcrest.Matchers.nullValue;
 
 import com.google.common.collect.ImmutableSet;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Queue;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
 import org.cowslipmoor.core.discovery.TargetDirectory;
 import org.cowslipmoor.core.discovery.TargetIncarnation;
 import org.cowslipmoor.core.fleet.CoordinationLoad;
-import org.cowslipmoor.core.range.GrantOutcome;
 import org.cowslipmoor.core.range.KeyRange;
 import org.cowslipmoor.core.range.Leadership;
 import org.cowslipmoor.core.range.RangeEntry;
 import org.cowslipmoor.core.range.RangeTable;
 import org.cowslipmoor.core.range.RangeTiming;
 import org.cowslipmoor.core.range.ServiceLoad;
-import org.cowslipmoor.schema.fleet.StoreNews;
 import org.junit.jupiter.api.Test;
 
 final class CoordinationTest {
@@ -33,7 +26,7 @@
   private static final long TICK_NANOS = 20 * NANOS_PER_MILLI;
   private static final long LEASE_MILLIS = 1_500;
   private static final long COMMAND_MILLIS = 600;
-  private static final Leadership.Lease LEASE = new Leadership.Lease(1, 2);
+  private static final Leadership.Lease LEASE = ScriptedStore.LEASE;
   private static final SharedStore.TableResult NO_RESPONSE =
       new SharedStore.TableResult(false, RangeTable.empty(), 0);
   private static final RangeTable TABLE =
@@ -162,100 +155,4 @@
       coordination.tick();
     }
   }
-
-  /** A store whose reads the test completes, and whose writes get no response. */
-  private static final class ScriptedStore implements SharedStore {
-    final Queue<CompletableFuture<TableResult>> reads = new ArrayDeque<>();
-    final List<Leadership.Lease> ended = new ArrayList<>();
-    CompletableFuture<ClaimResult> claim =
-        CompletableFuture.completedFuture(new ClaimResult(CallResult.DONE, LEASE));
-    CallResult renewal = CallResult.DONE;
-    RangeTable written = RangeTable.empty();
-    int writes;
-
-    @Override
-    public void watch(Consumer<StoreView> onChange) {}
-
-    @Override
-    public void onRelayAvailable(boolean isAvailable) {}
-
-    @Override
-    public boolean isCurrent(long now) {
-      return true;
-    }
-
-    @Override
-    public long confirmedAt() {
-      return 0;
-    }
-
-    @Override
-    public long revision() {
-      return 1;
-    }
-
-    @Override
-    public long trackedSince() {
-      return 0;
-    }
-
-    @Override
-    public StoreNews updatesSince(long revision) {
-      return StoreNews.getDefaultInstance();
-    }
-
-    @Override
-    public void onRelayedUpdates(StoreNews updates) {}
-
-    @Override
-    public CompletableFuture<ClaimResult> claim() {
-      return claim;
-    }
-
-    @Override
-    public CompletableFuture<CallResult> renew(Leadership.Lease lease) {
-      return CompletableFuture.completedFuture(renewal);
-    }
-
-    @Override
-    public CompletableFuture<CallResult> end(Leadership.Lease lease) {
-      ended.add(lease);
-      return CompletableFuture.completedFuture(CallResult.UNKNOWN);
-    }
-
-    @Override
-    public CompletableFuture<WriteResult> write(
-        RangeTable table, long revision, Leadership.Lease lease) {
-      writes++;
-      written = table;
-      return CompletableFuture.completedFuture(new WriteResult(CallResult.UNKNOWN, 0));
-    }
-
-    @Override
-    public CompletableFuture<WriteResult> writeMembers(
-        ImmutableSet<String> members, long revision, Leadership.Lease lease) {
-      return CompletableFuture.completedFuture(new WriteResult(CallResult.UNKNOWN, 0));
-    }
-
-    @Override
-    public CompletableFuture<TableResult> readTable() {
-      CompletableFuture<TableResult> read = new CompletableFuture<>();
-      reads.add(read);
-      return read;
-    }
-  }
-
-  /** Targets that never respond. */
-  private static final class UnresponsiveTargets implements TargetCommands {
-    @Override
-    public CompletableFuture<GrantOutcome> grant(
-        RangeEntry entry, long holdNanos, BooleanSupplier isAllowed) {
-      return new CompletableFuture<>();
-    }
-
-    @Override
-    public CompletableFuture<ReleaseResult> release(RangeEntry entry, BooleanSupplier isAllowed) {
-      return new CompletableFuture<>();
-    }
-  }
 }
--- /dev/null
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/coordination/SuccessorTest.java
@@ -0,0 +1,182 @@
+package org.cowslipmoor.daemon.coordination;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.notNullValue;
+import static org.hamcrest.Matchers.nullValue;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.net.HostAndPort;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.ServerSocket;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.cowslipmoor.core.discovery.TargetDirectory;
+import org.cowslipmoor.core.fleet.CoordinationLoad;
+import org.cowslipmoor.core.fleet.HostReport;
+import org.cowslipmoor.core.range.Leadership;
+import org.cowslipmoor.core.range.RangeTable;
+import org.cowslipmoor.core.range.RangeTiming;
+import org.cowslipmoor.core.range.ServiceLoad;
+import org.cowslipmoor.schema.fleet.StoreNews;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests a coordinator that the store rejects, and that is replaced meanwhile. */
+final class SuccessorTest {
+  private static final long LEASE_MILLIS = 1_500;
+  private static final long NEW_TERM = 5;
+  private static final long TIMEOUT_MILLIS = 10_000;
+
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+  @AfterEach
+  void close() throws Exception {
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+  }
+
+  /** A host; its methods run on the event loop. */
+  private final class Host {
+    final String id;
+    final String address;
+    final ScriptedStore store = new ScriptedStore();
+    final Coordination coordination;
+    final FleetExchange fleet;
+    private StoreView view = view(null);
+
+    Host(String id) throws Exception {
+      this.id = id;
+      try (ServerSocket free = new ServerSocket(0)) {
+        address = "127.0.0.1:" + free.getLocalPort();
+      }
+      coordination =
+          new Coordination(
+              store,
+              new UnresponsiveTargets(),
+              Leadership.create(LEASE_MILLIS, new SplittableRandom(1)),
+              RangeTiming.standard(10_000, LEASE_MILLIS, 600),
+              () -> view,
+              unused -> ServiceLoad.uniform(),
+              new CoordinationLoad(1e8, 1));
+      fleet =
+          new FleetExchange(
+              group, id, "cairo", 1e8, store, coordination, () -> view, Host::report, unused -> {});
+      fleet.listen(HostAndPort.fromString(address));
+    }
+
+    private static HostReport report() {
+      return new HostReport(
+          ImmutableMap.of(), ImmutableMap.of(), 1, ImmutableSet.of(), System.nanoTime());
+    }
+
+    private static StoreView view(StoreView.@Nullable Coordinator coordinator) {
+      return new StoreView(
+          null,
+          TargetDirectory.empty(),
+          RangeTable.empty(),
+          0,
+          ImmutableSet.of(),
+          0,
+          coordinator,
+          true,
+          1);
+    }
+
+    StoreView.Coordinator asCoordinator(long term) {
+      return new StoreView.Coordinator(id, address, term);
+    }
+
+    /** Applies the store's state, in which the given host is the coordinator. */
+    void learn(StoreView.@Nullable Coordinator coordinator) throws Exception {
+      run(
+          () -> {
+            view = view(coordinator);
+            fleet.onView(view);
+          });
+    }
+
+    void becomeCoordinator(long term) throws Exception {
+      store.claim =
+          CompletableFuture.completedFuture(
+              new SharedStore.ClaimResult(
+                  SharedStore.CallResult.DONE, new Leadership.Lease(term, term)));
+      learn(null);
+      long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
+      while (!coordination.isCoordinator() && System.nanoTime() - until < 0) {
+        run(
+            () -> {
+              coordination.tick();
+              while (!store.reads.isEmpty()) {
+                store
+                    .reads
+                    .remove()
+                    .complete(new SharedStore.TableResult(true, RangeTable.empty(), 0));
+              }
+            });
+      }
+      learn(asCoordinator(term));
+      assertThat(coordination.isCoordinator(), is(true));
+    }
+
+    /** Exchanges reports until an update arrives at the given host; null if none does. */
+    @Nullable StoreNews tickUntilUpdateAt(Host receiver) throws Exception {
+      StoreNews update = null;
+      long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
+      while (update == null && System.nanoTime() - until < 0) {
+        run(fleet::tick);
+        update = receiver.store.relayed.poll(50, TimeUnit.MILLISECONDS);
+      }
+      return update;
+    }
+  }
+
+  private void run(Runnable task) throws Exception {
+    group.next().submit(task).get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /**
+   * Guards against hosts that the store rejects together with their coordinator: they report to it
+   * for as long, and get no updates from its successor.
+   */
+  @Test
+  void rejectedCoordinatorAndItsReportersLearnOfTheSuccessor() throws Exception {
+    Host predecessor = new Host("old");
+    Host successor = new Host("new");
+    final Host reporter = new Host("reporter");
+    predecessor.becomeCoordinator(ScriptedStore.LEASE.term());
+    reporter.learn(predecessor.asCoordinator(ScriptedStore.LEASE.term()));
+    successor.learn(predecessor.asCoordinator(ScriptedStore.LEASE.term()));
+    successor.becomeCoordinator(NEW_TERM);
+    reporter.store.relayed.clear();
+    predecessor.store.relayed.clear();
+    run(reporter.fleet::tick);
+
+    StoreNews notice = successor.tickUntilUpdateAt(predecessor);
+
+    assertThat(notice, is(notNullValue()));
+    assertThat(notice.getSince(), is(ScriptedStore.COORDINATOR_UPDATE));
+    predecessor.learn(successor.asCoordinator(NEW_TERM));
+    assertThat(predecessor.coordination.isCoordinator(), is(false));
+    assertThat(predecessor.coordination.lease(), is(nullValue()));
+    StoreNews passedOn = reporter.store.relayed.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    assertThat(passedOn, is(notNullValue()));
+    assertThat(passedOn.getSince(), is(ScriptedStore.COORDINATOR_UPDATE));
+  }
+
+  /** The state that a host has cached may name a coordinator from before its own claim. */
+  @Test
+  void coordinatorKeepsItsTermWhenItsCacheNamesAnEarlierOne() throws Exception {
+    Host host = new Host("new");
+    host.becomeCoordinator(NEW_TERM);
+
+    host.learn(new StoreView.Coordinator("old", "127.0.0.1:9", NEW_TERM - 1));
+
+    assertThat(host.coordination.isCoordinator(), is(true));
+  }
+}
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/FixedStore.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/FixedStore.java
@@ -49,6 +49,11 @@
     return StoreNews.getDefaultInstance();
   }
 
+  @Override
+  public StoreNews coordinatorUpdate() {
+    return StoreNews.getDefaultInstance();
+  }
+
   @Override
   public void onRelayedUpdates(StoreNews updates) {}
 
