Enforce the limits of the configuration on heads and idle connections

Cause: of the limits on callers only the body's length was in force. Idle connections were closed after 60 s whatever the configuration says, which cuts callers that reuse them within a longer limit; heads had 8 KB and any time. Changes bind new requests and idle connections only.

--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/CallerConnections.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/CallerConnections.java
@@ -1,14 +1,19 @@
 package org.cowslipmoor.daemon.gateway;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.cowslipmoor.core.routing.CallerLimits;
 
 /**
- * Tracks the open connections of callers, so that a graceful shutdown can close those that carry no
- * request. Confined to the event loop.
+ * Tracks the open connections of callers, and closes those that carry no request: all of them in a
+ * graceful shutdown, otherwise those that stay idle or take too long to send a request's head.
+ * Confined to the event loop.
  */
 final class CallerConnections {
   /** Time that a new connection is kept open to receive its first request. */
@@ -19,7 +24,9 @@
   /** Registers a connection that was just accepted. */
   void onAccepted(ChannelPipeline pipeline) {
     Channel channel = pipeline.channel();
-    states.put(channel, new ConnectionState());
+    ConnectionState state = new ConnectionState();
+    states.put(channel, state);
+    pipeline.addFirst(new ReadObserver(state));
     channel.closeFuture().addListener(unused -> states.remove(channel));
   }
 
@@ -28,6 +35,7 @@
     ConnectionState s = states.get(channel);
     if (s != null) {
       s.requestsInProgress++;
+      s.headStartedAt = 0;
     }
   }
 
@@ -36,6 +44,23 @@
     ConnectionState s = states.get(channel);
     if (s != null) {
       s.requestsInProgress--;
+      s.idleSince = System.nanoTime();
+    }
+  }
+
+  /** Closes the connections that exceed the limits on idle time and on the time for a head. */
+  void closeExpired(CallerLimits limits, long now) {
+    long maxHeadNanos = TimeUnit.MILLISECONDS.toNanos(limits.headerTimeoutMillis());
+    long maxIdleNanos = TimeUnit.MILLISECONDS.toNanos(limits.idleTimeoutMillis());
+    for (Map.Entry<Channel, ConnectionState> e : List.copyOf(states.entrySet())) {
+      ConnectionState s = e.getValue();
+      boolean isExpired =
+          s.headStartedAt == 0
+              ? now - s.idleSince > maxIdleNanos
+              : now - s.headStartedAt > maxHeadNanos;
+      if (s.requestsInProgress == 0 && isExpired) {
+        e.getKey().close();
+      }
     }
   }
 
@@ -58,5 +83,28 @@
   private static final class ConnectionState {
     final long acceptedAt = System.nanoTime();
     int requestsInProgress;
+
+    /** Time since which no request has been in progress. */
+    long idleSince = acceptedAt;
+
+    /** Time at which the first bytes of the next request's head arrived; 0 if none have. */
+    long headStartedAt;
+  }
+
+  /** Observes when the head of a request begins to arrive, before it is decoded. */
+  private static final class ReadObserver extends ChannelInboundHandlerAdapter {
+    private final ConnectionState state;
+
+    ReadObserver(ConnectionState state) {
+      this.state = state;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+      if (state.requestsInProgress == 0 && state.headStartedAt == 0) {
+        state.headStartedAt = System.nanoTime();
+      }
+      ctx.fireChannelRead(message);
+    }
   }
 }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
@@ -174,6 +174,17 @@
     return now - laggingUntil < 0;
   }
 
+  /**
+   * Closes the callers' connections that exceed the limits of the configuration in force, unless
+   * the host has not yet read what callers sent meanwhile.
+   */
+  public void closeExpiredCallers(long now) {
+    RoutingConfiguration configuration = view.get().configuration();
+    if (configuration != null && !isLagging(now)) {
+      callers.closeExpired(configuration.limits(), now);
+    }
+  }
+
   /** Returns the open connections of callers. */
   CallerConnections callers() {
     return callers;
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
@@ -7,9 +7,11 @@
 import com.linecorp.armeria.common.ResponseHeadersBuilder;
 import com.linecorp.armeria.server.ServiceRequestContext;
 import io.netty.channel.Channel;
+import io.netty.util.AsciiString;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.UUID;
@@ -67,6 +69,12 @@
   /** Time after which a caller should retry when the host had no memory for the body. */
   private static final long BODY_MEMORY_RETRY_AFTER_NANOS = 200 * NANOS_PER_MILLI;
 
+  /** Length of the rest of a request line: two spaces, the version and the line's end. */
+  private static final int HTTP_VERSION_BYTES = 12;
+
+  /** Length of the colon, the space and the line's end of a header. */
+  private static final int HEADER_SEPARATOR_BYTES = 4;
+
   private final Gateway gateway;
   private final ServiceRequestContext ctx;
   private final HttpRequest request;
@@ -131,6 +139,10 @@
           START_RETRY_AFTER_NANOS);
       return;
     }
+    if (headBytes() > configuration.limits().maxHeaderBytes()) {
+      reject(ResultCode.HEAD_TOO_LARGE, "the head is longer than allowed", 0);
+      return;
+    }
     try {
       head = gateway.headerCodec().readRequest(request.headers());
     } catch (IllegalArgumentException e) {
@@ -479,6 +491,17 @@
     return Ascii.toLowerCase(port < 0 ? authority : authority.substring(0, port));
   }
 
+  /** Returns the length of the request's head as HTTP/1.1, without the spaces that callers add. */
+  private long headBytes() {
+    long bytes = request.method().name().length() + request.path().length() + HTTP_VERSION_BYTES;
+    for (Map.Entry<AsciiString, String> h : request.headers()) {
+      if (h.getKey().charAt(0) != ':') {
+        bytes += h.getKey().length() + h.getValue().length() + HEADER_SEPARATOR_BYTES;
+      }
+    }
+    return bytes;
+  }
+
   private @Nullable ServiceDescription description() {
     RoutingConfiguration c = gateway.view().configuration();
     return c == null ? null : c.services().get(service);
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -47,8 +47,8 @@
   /** Maximum idle time of a connection to a target that does not specify one. */
   private static final Duration TARGET_IDLE_TIMEOUT = Duration.ofSeconds(4);
 
-  /** Maximum idle time of a caller's connection. */
-  private static final Duration CALLER_IDLE_TIMEOUT = Duration.ofSeconds(60);
+  /** Longest head of a request that is read; the configuration's limit is checked afterwards. */
+  private static final int MAX_HEAD_BYTES = 65_536;
 
   private static final long TICK_INTERVAL_MILLIS = 50;
 
@@ -154,7 +154,12 @@
         REPORT_INTERVAL_MILLIS,
         TimeUnit.MILLISECONDS);
     loop.scheduleWithFixedDelay(
-        connections::closeStale,
+        () ->
+            runLoggingFailures(
+                () -> {
+                  connections.closeStale();
+                  gateway.closeExpiredCallers(System.nanoTime());
+                }),
         CLEANUP_INTERVAL_MILLIS,
         CLEANUP_INTERVAL_MILLIS,
         TimeUnit.MILLISECONDS);
@@ -323,7 +328,9 @@
             })
         .requestTimeoutMillis(0)
         .maxRequestLength(0)
-        .idleTimeout(CALLER_IDLE_TIMEOUT)
+        .idleTimeoutMillis(0)
+        .http1MaxHeaderSize(MAX_HEAD_BYTES)
+        .http1MaxInitialLineLength(MAX_HEAD_BYTES)
         .disableServerHeader()
         .disableDateHeader()
         .build();
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/LoopbackGateway.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/LoopbackGateway.java
@@ -89,7 +89,7 @@
   static RoutingConfiguration configuration() {
     return RoutingConfiguration.of(
         1,
-        new CallerLimits(100_000, 8_192, 1_000, 1_000),
+        new CallerLimits(100_000, 8_192, 1_000, 4_000),
         List.of(
             new ServiceDescription("sheets", 100, false),
             new ServiceDescription("stock", 100, true)),
