--- a/tool/src/main/java/org/cowslipmoor/tool/Cowslipmoor.java
+++ b/tool/src/main/java/org/cowslipmoor/tool/Cowslipmoor.java
@@ -92,7 +92,8 @@
             RemoveTargetCommand.class,
             LocateCommand.class,
             RolloutCommand.class,
-            DumpCommand.class)
+            DumpCommand.class,
+            SettingsCommand.class)
         .build();
   }
 }
