--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
@@ -70,7 +70,7 @@
   private static final long BODY_MEMORY_RETRY_AFTER_NANOS = 200 * NANOS_PER_MILLI;
 
   /** Length of the rest of a request line: two spaces, the version and the line's end. */
-  private static final int HTTP_VERSION_BYTES = 12;
+  private static final long HTTP_VERSION_BYTES = 12;
 
   /** Length of the colon, the space and the line's end of a header. */
   private static final int HEADER_SEPARATOR_BYTES = 4;
@@ -493,7 +493,8 @@
 
   /** Returns the length of the request's head as HTTP/1.1, without the spaces that callers add. */
   private long headBytes() {
-    long bytes = request.method().name().length() + request.path().length() + HTTP_VERSION_BYTES;
+    long bytes = HTTP_VERSION_BYTES + request.path().length();
+    bytes += request.method().name().length();
     for (Map.Entry<AsciiString, String> h : request.headers()) {
       if (h.getKey().charAt(0) != ':') {
         bytes += h.getKey().length() + h.getValue().length() + HEADER_SEPARATOR_BYTES;
--- a/daemon/src/main/java/org/cowslipmoor/daemon/settings/HostSetting.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/settings/HostSetting.java
@@ -34,6 +34,8 @@
   CORES(Effect.AFTER_RESTART, GatewaySettings::cores);
 
   private final Effect effect;
+
+  @SuppressWarnings("ImmutableEnumChecker") // The getters are method references.
   private final Function<GatewaySettings, Object> getter;
 
   /** When a changed value takes effect. */
--- a/daemon/src/main/java/org/cowslipmoor/daemon/settings/SettingsMonitor.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/settings/SettingsMonitor.java
@@ -109,7 +109,7 @@
   }
 
   private Outcome apply(GatewaySettings settings, long now) {
-    GatewaySettings before = inForce;
+    final GatewaySettings before = inForce;
     usedContent = candidate;
     newest = settings;
     inForce = startedWith.withReloadable(settings);
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/SettingsReloadTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/SettingsReloadTest.java
@@ -57,7 +57,7 @@
   }
 
   private WebClient startWithFile() throws Exception {
-    WebClient client = start(view("sheets", RangeTable.empty()));
+    final WebClient client = start(view("sheets", RangeTable.empty()));
     file = Files.writeString(folder.resolve("settings"), "100");
     SettingsMonitor monitor =
         new SettingsMonitor(this::decode, Files.readAllBytes(file), System.nanoTime());
