--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
@@ -1,17 +1,14 @@
 package org.cowslipmoor.daemon.gateway;
 
-import com.google.common.base.Ascii;
 import com.linecorp.armeria.common.HttpHeaderNames;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponseWriter;
 import com.linecorp.armeria.common.ResponseHeadersBuilder;
 import com.linecorp.armeria.server.ServiceRequestContext;
 import io.netty.channel.Channel;
-import io.netty.util.AsciiString;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.UUID;
@@ -69,12 +66,6 @@
   /** Time after which a caller should retry when the host had no memory for the body. */
   private static final long BODY_MEMORY_RETRY_AFTER_NANOS = 200 * NANOS_PER_MILLI;
 
-  /** Length of the rest of a request line: two spaces, the version and the line's end. */
-  private static final long HTTP_VERSION_BYTES = 12;
-
-  /** Length of the colon, the space and the line's end of a header. */
-  private static final int HEADER_SEPARATOR_BYTES = 4;
-
   private final Gateway gateway;
   private final ServiceRequestContext ctx;
   private final HttpRequest request;
@@ -139,7 +130,7 @@
           START_RETRY_AFTER_NANOS);
       return;
     }
-    if (headBytes() > configuration.limits().maxHeaderBytes()) {
+    if (CallerHead.length(request) > configuration.limits().maxHeaderBytes()) {
       reject(ResultCode.HEAD_TOO_LARGE, "the head is longer than allowed", 0);
       return;
     }
@@ -149,7 +140,7 @@
       reject(ResultCode.MALFORMED_REQUEST, String.valueOf(e.getMessage()), 0);
       return;
     }
-    Optional<RouteEntry> found = configuration.find(host(), ctx.rawPath());
+    Optional<RouteEntry> found = configuration.find(CallerHead.host(request), ctx.rawPath());
     if (found.isEmpty()) {
       reject(ResultCode.UNKNOWN_ROUTE, "no route matches", 0);
       return;
@@ -485,24 +476,6 @@
     return String.format(Locale.ROOT, "%.3f", nanos / 1e9);
   }
 
-  private String host() {
-    String authority = request.authority() == null ? "" : request.authority();
-    int port = authority.lastIndexOf(':');
-    return Ascii.toLowerCase(port < 0 ? authority : authority.substring(0, port));
-  }
-
-  /** Returns the length of the request's head as HTTP/1.1, without the spaces that callers add. */
-  private long headBytes() {
-    long bytes = HTTP_VERSION_BYTES + request.path().length();
-    bytes += request.method().name().length();
-    for (Map.Entry<AsciiString, String> h : request.headers()) {
-      if (h.getKey().charAt(0) != ':') {
-        bytes += h.getKey().length() + h.getValue().length() + HEADER_SEPARATOR_BYTES;
-      }
-    }
-    return bytes;
-  }
-
   private @Nullable ServiceDescription description() {
     RoutingConfiguration c = gateway.view().configuration();
     return c == null ? null : c.services().get(service);
