--- a/core/src/main/java/org/cowslipmoor/core/admission/TargetLoadBalancer.java
+++ b/core/src/main/java/org/cowslipmoor/core/admission/TargetLoadBalancer.java
@@ -104,7 +104,7 @@
    * Creates a load balancer without any samples.
    *
    * @param dataCentre the host's own data centre
-   * @param random breaks ties
+   * @param random draws the targets of requests
    */
   public static TargetLoadBalancer create(String dataCentre, RandomGenerator random) {
     return new TargetLoadBalancer(dataCentre, random);
