Apply the limits on callers to callers' connections only

Cause: the limits on idle time and heads also closed connections that check readiness or read metrics, which never count a request: after the time for a head, between two checks. Change: only connections of the callers' port are observed and expire. Measured: CallerLimitsTest keeps a connection of readiness checks open for longer than both limits.

--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/CallerConnections.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/CallerConnections.java
@@ -21,12 +21,19 @@
 
   private final Map<Channel, ConnectionState> states = new HashMap<>();
 
-  /** Registers a connection that was just accepted. */
-  void onAccepted(ChannelPipeline pipeline) {
+  /**
+   * Registers a connection that was just accepted.
+   *
+   * @param isForRequests whether callers send requests on it; the limits on them don't apply to
+   *     connections that check readiness or read metrics
+   */
+  void onAccepted(ChannelPipeline pipeline, boolean isForRequests) {
     Channel channel = pipeline.channel();
-    ConnectionState state = new ConnectionState();
+    ConnectionState state = new ConnectionState(isForRequests);
     states.put(channel, state);
-    pipeline.addFirst(new ReadObserver(state));
+    if (isForRequests) {
+      pipeline.addFirst(new ReadObserver(state));
+    }
     channel.closeFuture().addListener(unused -> states.remove(channel));
   }
 
@@ -58,7 +65,7 @@
           s.headStartedAt == 0
               ? now - s.idleSince > maxIdleNanos
               : now - s.headStartedAt > maxHeadNanos;
-      if (s.requestsInProgress == 0 && isExpired) {
+      if (s.isForRequests && s.requestsInProgress == 0 && isExpired) {
         e.getKey().close();
       }
     }
@@ -82,6 +89,7 @@
   /** The state of one connection. */
   private static final class ConnectionState {
     final long acceptedAt = System.nanoTime();
+    final boolean isForRequests;
     int requestsInProgress;
 
     /** Time since which no request has been in progress. */
@@ -89,6 +97,10 @@
 
     /** Time at which the first bytes of the next request's head arrived; 0 if none have. */
     long headStartedAt;
+
+    ConnectionState(boolean isForRequests) {
+      this.isForRequests = isForRequests;
+    }
   }
 
   /** Observes when the head of a request begins to arrive, before it is decoded. */
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -6,6 +6,7 @@
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.server.Server;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
@@ -316,7 +317,7 @@
         .http(readyAddress)
         .http(parseAddress(settings.metricsAddress()))
         .workerGroup(group, false)
-        .childChannelPipelineCustomizer(gateway.callers()::onAccepted)
+        .childChannelPipelineCustomizer(this::onAccepted)
         .serviceUnder(
             "/",
             (ctx, request) -> {
@@ -336,6 +337,12 @@
         .build();
   }
 
+  private void onAccepted(ChannelPipeline pipeline) {
+    int port = ((InetSocketAddress) pipeline.channel().localAddress()).getPort();
+    boolean isForRequests = port == parseAddress(settings.callerAddress()).getPort();
+    gateway.callers().onAccepted(pipeline, isForRequests);
+  }
+
   private HttpResponse checkReadiness(HttpRequest request) {
     if (!request.path().equals(settings.readyPath())) {
       return HttpResponse.of(HttpStatus.NOT_FOUND);
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/CallerLimitsTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/CallerLimitsTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
@@ -12,6 +13,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import org.cowslipmoor.core.range.RangeTable;
@@ -33,8 +35,12 @@
 
   /** Sends text on a new connection; returns the milliseconds until the host closes it. */
   private long millisUntilClosed(String text) throws IOException {
+    return millisUntilClosed(ports[0], text);
+  }
+
+  private static long millisUntilClosed(int port, String text) throws IOException {
     final long startedAt = System.nanoTime();
-    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), ports[0])) {
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
       socket.setSoTimeout((int) (IDLE_MILLIS + 2 * MAX_DELAY_MILLIS));
       socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
       byte[] buffer = new byte[8_192];
@@ -90,4 +96,15 @@
 
     assertThat(send(client, HttpMethod.POST, "/once/a", "body").status().code(), is(504));
   }
+
+  /** The load balancer may check readiness on a connection that it keeps. */
+  @Test
+  void connectionOfReadinessCheckIsNotClosed() throws Exception {
+    target("t", ScriptedTarget.ok("sheet"));
+    start(view("sheets", RangeTable.empty()));
+
+    assertThrows(
+        SocketTimeoutException.class,
+        () -> millisUntilClosed(ports[1], "GET /ready HTTP/1.1\r\nhost: a\r\n\r\n"));
+  }
 }
