Admit hosts although half of the members are gone

Callers saw every request refused with 1017, without end, once half of the members or more were gone together: planned work that replaces all hosts was enough. Cause: a host joins once every member has approved it, and lost members were removed only while fewer than half of them were lost. The limit guards against a coordinator that is itself partitioned, but nothing else ever removed them. Change: the record of the members also lists suspected ones. A lost answer to a write of the members no longer starts all timeouts anew. Why it works: a member is removed only if it was silent towards the coordinator and the store, so a partitioned coordinator removes no living majority.

--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
@@ -16,6 +16,7 @@
 import org.cowslipmoor.core.fleet.FleetState;
 import org.cowslipmoor.core.fleet.HostReport;
 import org.cowslipmoor.core.fleet.LinkBudget;
+import org.cowslipmoor.core.fleet.MemberList;
 import org.cowslipmoor.core.fleet.Membership;
 import org.cowslipmoor.core.fleet.PredecessorNotifier;
 import org.cowslipmoor.core.fleet.StoreUpdateRelay;
@@ -119,6 +120,7 @@
       return;
     }
     membership = null;
+    objectToRemoval();
     relay.clear();
     StoreView.Coordinator coordinator = view.get().coordinator();
     if (coordinator != null && !coordinator.host().equals(host)) {
@@ -215,14 +217,21 @@
   private void updateMembers() {
     long now = System.nanoTime();
     StoreView v = view.get();
-    Leadership.Lease lease = coordination.lease();
     Membership m = membership;
     if (m == null) {
       membersRevision = v.membersRevision();
-      membership = Membership.create(v.members(), host, now);
+      membership = Membership.create(v.memberList(), host, now);
       return;
     }
-    Optional<ImmutableSet<String>> next = m.nextMembers(now);
+    // A view from before this host's last write says nothing about it.
+    if (v.membersRevision() != membersRevision && v.revision() >= membersRevision) {
+      membersRevision = v.membersRevision();
+      m.onStored(v.memberList(), now);
+    }
+    if (!store.isCurrent(now)) {
+      m.onStoreUnavailable(now);
+    }
+    Optional<MemberList> next = m.nextList(now);
     if (next.isEmpty()
         && !m.candidates(now).isEmpty()
         && now - joinLoggedAt >= MIN_JOIN_LOG_INTERVAL_NANOS) {
@@ -232,6 +241,7 @@
           m.candidates(now),
           m.missingApprovals(now));
     }
+    Leadership.Lease lease = coordination.lease();
     if (lease == null || isWritingMembers || next.isEmpty()) {
       return;
     }
@@ -242,20 +252,41 @@
             result -> {
               isWritingMembers = false;
               if (result.result() == SharedStore.CallResult.DONE) {
-                Logger.info("the members are now {}", next.get());
+                logMembers(next.get());
                 membersRevision = result.revision();
-                m.onWritten(next.get());
+                m.onStored(next.get(), System.nanoTime());
               } else {
-                // The membership is created again from the cached view of the store.
                 Logger.warn(
                     "writing the members {} ended with {}; retrying from the store's members",
                     next.get(),
                     result.result());
-                membership = null;
               }
             });
   }
 
+  private static void logMembers(MemberList list) {
+    Logger.info("the members are now {}", list.members());
+    if (!list.suspected().isEmpty()) {
+      Logger.warn("members {} are removed unless they object", list.suspected());
+    }
+  }
+
+  /** Objects in the store if this host is a member that is about to be removed as lost. */
+  private void objectToRemoval() {
+    StoreView v = view.get();
+    if (isWritingMembers || !v.memberList().suspected().contains(host)) {
+      return;
+    }
+    isWritingMembers = true;
+    store
+        .objectToRemoval(v.memberList().trusting(host), v.membersRevision())
+        .thenAccept(
+            result -> {
+              isWritingMembers = false;
+              Logger.info("objecting to this host's removal ended with {}", result.result());
+            });
+  }
+
   private void onReleaseStarted() {
     isMovingAnnouncementDue = true;
     relay();
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/SharedStore.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/SharedStore.java
@@ -1,8 +1,8 @@
 package org.cowslipmoor.daemon.coordination;
 
-import com.google.common.collect.ImmutableSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import org.cowslipmoor.core.fleet.MemberList;
 import org.cowslipmoor.core.range.Leadership;
 import org.cowslipmoor.core.range.RangeTable;
 import org.cowslipmoor.schema.fleet.StoreNews;
@@ -64,7 +64,13 @@
 
   /** Writes the members if the lease's claim is valid and the store has the given revision. */
   CompletableFuture<WriteResult> writeMembers(
-      ImmutableSet<String> members, long revision, Leadership.Lease lease);
+      MemberList list, long revision, Leadership.Lease lease);
+
+  /**
+   * Writes the members in which this host no longer is suspected, if the store has the given
+   * revision; needs no claim.
+   */
+  CompletableFuture<WriteResult> objectToRemoval(MemberList list, long revision);
 
   /** Reads the range table and its revision. */
   CompletableFuture<TableResult> readTable();
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/StoreView.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/StoreView.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableSet;
 import org.cowslipmoor.core.discovery.TargetDirectory;
+import org.cowslipmoor.core.fleet.MemberList;
 import org.cowslipmoor.core.range.RangeTable;
 import org.cowslipmoor.core.routing.RoutingConfiguration;
 import org.jspecify.annotations.Nullable;
@@ -14,7 +15,7 @@
  * @param table the range table, which maps keys to their owners
  * @param tableRevision the store's revision of that table, for a conditional write; 0 when there is
  *     none
- * @param members ids of the hosts that are members; empty before the first one
+ * @param memberList the hosts that are members
  * @param membersRevision the store's revision of the members; 0 when there are none
  * @param coordinator the host that is the coordinator; null when there is none
  * @param isLoaded whether the store has been read
@@ -25,7 +26,7 @@
     TargetDirectory directory,
     RangeTable table,
     long tableRevision,
-    ImmutableSet<String> members,
+    MemberList memberList,
     long membersRevision,
     @Nullable Coordinator coordinator,
     boolean isLoaded,
@@ -40,9 +41,22 @@
    */
   public record Coordinator(String host, String linkAddress, long term) {}
 
+  /** Returns the ids of the hosts that are members; empty before the first one. */
+  public ImmutableSet<String> members() {
+    return memberList.members();
+  }
+
   /** Returns the view of a host that has not read the store. */
   public static StoreView unknown() {
     return new StoreView(
-        null, TargetDirectory.empty(), RangeTable.empty(), 0, ImmutableSet.of(), 0, null, false, 0);
+        null,
+        TargetDirectory.empty(),
+        RangeTable.empty(),
+        0,
+        MemberList.empty(),
+        0,
+        null,
+        false,
+        0);
   }
 }
--- a/daemon/src/test/java/org/cowslipmoor/daemon/coordination/CoordinationTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/coordination/CoordinationTest.java
@@ -6,13 +6,13 @@
 import static org.hamcrest.Matchers.notNullValue;
 import static org.hamcrest.Matchers.nullValue;
 
-import com.google.common.collect.ImmutableSet;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import org.cowslipmoor.core.discovery.TargetDirectory;
 import org.cowslipmoor.core.discovery.TargetIncarnation;
 import org.cowslipmoor.core.fleet.CoordinationLoad;
+import org.cowslipmoor.core.fleet.MemberList;
 import org.cowslipmoor.core.range.KeyRange;
 import org.cowslipmoor.core.range.Leadership;
 import org.cowslipmoor.core.range.RangeEntry;
@@ -51,7 +51,7 @@
                   TargetDirectory.empty(),
                   RangeTable.empty(),
                   0,
-                  ImmutableSet.of(),
+                  MemberList.empty(),
                   0,
                   null,
                   true,
--- a/daemon/src/test/java/org/cowslipmoor/daemon/coordination/ScriptedStore.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/coordination/ScriptedStore.java
@@ -1,6 +1,5 @@
 package org.cowslipmoor.daemon.coordination;
 
-import com.google.common.collect.ImmutableSet;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
@@ -9,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.function.Consumer;
+import org.cowslipmoor.core.fleet.MemberList;
 import org.cowslipmoor.core.range.Leadership;
 import org.cowslipmoor.core.range.RangeTable;
 import org.cowslipmoor.schema.fleet.StoreNews;
@@ -28,6 +28,9 @@
   RangeTable written = RangeTable.empty();
   int writes;
 
+  /** The members as hosts that objected to their removal wrote them. */
+  final List<MemberList> objections = new ArrayList<>();
+
   /** The updates that other hosts relayed. */
   final BlockingQueue<StoreNews> relayed = new LinkedBlockingQueue<>();
 
@@ -98,7 +101,13 @@
 
   @Override
   public CompletableFuture<WriteResult> writeMembers(
-      ImmutableSet<String> members, long revision, Leadership.Lease lease) {
+      MemberList list, long revision, Leadership.Lease lease) {
+    return CompletableFuture.completedFuture(new WriteResult(CallResult.UNKNOWN, 0));
+  }
+
+  @Override
+  public CompletableFuture<WriteResult> objectToRemoval(MemberList list, long revision) {
+    objections.add(list);
     return CompletableFuture.completedFuture(new WriteResult(CallResult.UNKNOWN, 0));
   }
 
--- a/daemon/src/test/java/org/cowslipmoor/daemon/coordination/SuccessorTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/coordination/SuccessorTest.java
@@ -12,12 +12,14 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.ServerSocket;
+import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.cowslipmoor.core.discovery.TargetDirectory;
 import org.cowslipmoor.core.fleet.CoordinationLoad;
 import org.cowslipmoor.core.fleet.HostReport;
+import org.cowslipmoor.core.fleet.MemberList;
 import org.cowslipmoor.core.range.Leadership;
 import org.cowslipmoor.core.range.RangeTable;
 import org.cowslipmoor.core.range.RangeTiming;
@@ -48,6 +50,7 @@
     final ScriptedStore store = new ScriptedStore();
     final Coordination coordination;
     final FleetExchange fleet;
+    private MemberList members = MemberList.empty();
     private StoreView view = view(null);
 
     Host(String id) throws Exception {
@@ -75,17 +78,9 @@
           ImmutableMap.of(), ImmutableMap.of(), 1, ImmutableSet.of(), System.nanoTime());
     }
 
-    private static StoreView view(StoreView.@Nullable Coordinator coordinator) {
+    private StoreView view(StoreView.@Nullable Coordinator coordinator) {
       return new StoreView(
-          null,
-          TargetDirectory.empty(),
-          RangeTable.empty(),
-          0,
-          ImmutableSet.of(),
-          0,
-          coordinator,
-          true,
-          1);
+          null, TargetDirectory.empty(), RangeTable.empty(), 0, members, 1, coordinator, true, 1);
     }
 
     StoreView.Coordinator asCoordinator(long term) {
@@ -179,4 +174,18 @@
 
     assertThat(host.coordination.isCoordinator(), is(true));
   }
+
+  /**
+   * Guards against the removal of living members by a coordinator that is partitioned from them.
+   */
+  @Test
+  void suspectedMemberObjectsInTheStore() throws Exception {
+    Host host = new Host("a");
+    host.members = MemberList.of(ImmutableSet.of("a", "b")).suspecting(ImmutableSet.of("a", "b"));
+    host.learn(new StoreView.Coordinator("other", "127.0.0.1:9", NEW_TERM));
+
+    run(host.fleet::tick);
+
+    assertThat(host.store.objections, is(List.of(host.members.trusting("a"))));
+  }
 }
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/FixedStore.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/FixedStore.java
@@ -1,8 +1,8 @@
 package org.cowslipmoor.daemon.gateway;
 
-import com.google.common.collect.ImmutableSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import org.cowslipmoor.core.fleet.MemberList;
 import org.cowslipmoor.core.range.Leadership;
 import org.cowslipmoor.core.range.RangeTable;
 import org.cowslipmoor.daemon.coordination.SharedStore;
@@ -80,7 +80,12 @@
 
   @Override
   public CompletableFuture<WriteResult> writeMembers(
-      ImmutableSet<String> members, long revision, Leadership.Lease lease) {
+      MemberList list, long revision, Leadership.Lease lease) {
+    return CompletableFuture.completedFuture(new WriteResult(CallResult.UNKNOWN, 0));
+  }
+
+  @Override
+  public CompletableFuture<WriteResult> objectToRemoval(MemberList list, long revision) {
     return CompletableFuture.completedFuture(new WriteResult(CallResult.UNKNOWN, 0));
   }
 
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/LoopbackGateway.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/LoopbackGateway.java
@@ -22,6 +22,7 @@
 import java.util.function.BooleanSupplier;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.discovery.TargetDirectory;
+import org.cowslipmoor.core.fleet.MemberList;
 import org.cowslipmoor.core.range.GrantOutcome;
 import org.cowslipmoor.core.range.KeyRange;
 import org.cowslipmoor.core.range.RangeEntry;
@@ -105,7 +106,15 @@
   StoreView view(String service, RangeTable table) {
     List<DiscoveredTarget> discovered = targets.stream().map(t -> t.discovered(service)).toList();
     return new StoreView(
-        configuration(), TargetDirectory.of(discovered), table, 1, members, 1, null, true, 1);
+        configuration(),
+        TargetDirectory.of(discovered),
+        table,
+        1,
+        MemberList.of(members),
+        1,
+        null,
+        true,
+        1);
   }
 
   WebClient client(int port) {
