Start the rotation of a split at once, whatever its weights

Callers saw no answer for up to 16 s at every host after a change of weights in the hundreds of millions: requests of all routes outlasted their timeout, and the coordinator's lease and the hosts' readiness were lost. Cause: the first request of a route after a change of its weights drew a start in the rotation and reached it step by step, up to the sum of the weights, on the host's only event loop. Change: the state after the drawn number of requests is computed by apportioning them by the largest remainder. Why it works: the cost is that of sorting the destinations, whatever their weights; the state sums to zero, so later requests keep to the weights. Evidence: SplitSelectorTest#largeWeightsAreSplitWithoutDelay did not end within 100 s before. It passes now, with the proportions of weights up to 2^31 - 1 and of the first requests of 10,000 hosts. No other loop counts up to a number from a configuration or an entry.

--- a/core/src/main/java/org/cowslipmoor/core/routing/SplitSelector.java
+++ b/core/src/main/java/org/cowslipmoor/core/routing/SplitSelector.java
@@ -1,9 +1,12 @@
 package org.cowslipmoor.core.routing;
 
 import com.google.common.collect.ImmutableList;
+import java.math.BigInteger;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.random.RandomGenerator;
+import java.util.stream.IntStream;
 
 /**
  * Splits the requests of a route over its destinations by smooth weighted round-robin, so that each
@@ -50,10 +53,27 @@
       this.destinations = destinations;
       this.currentWeights = new long[destinations.size()];
       this.totalWeight = destinations.stream().mapToLong(Destination::weight).sum();
-      long skip = random.nextLong(totalWeight);
-      for (long i = 0; i < skip; i++) {
-        next();
+      startAt(random.nextLong(totalWeight));
+    }
+
+    /**
+     * Sets the weights to what they are after a number of requests that were apportioned by the
+     * largest remainder. Costs the same for any number, whereas a rotation is as long as the sum of
+     * the weights.
+     */
+    private void startAt(long requests) {
+      BigInteger total = BigInteger.valueOf(totalWeight);
+      long remainders = 0;
+      for (int i = 0; i < currentWeights.length; i++) {
+        BigInteger weight = BigInteger.valueOf(destinations.get(i).weight());
+        currentWeights[i] = weight.multiply(BigInteger.valueOf(requests)).mod(total).longValue();
+        remainders += currentWeights[i];
       }
+      IntStream.range(0, currentWeights.length)
+          .boxed()
+          .sorted(Comparator.comparingLong(i -> -currentWeights[i]))
+          .limit(remainders / totalWeight)
+          .forEach(i -> currentWeights[i] -= totalWeight);
     }
 
     String next() {
