Take a response that is reset during an upload as cut

Callers got a 200 with a part of the body that looked whole: a target reset a response without a length while the host was still sending it the request. Cause: a write that fails closes the channel without an exception, and the decoder takes any close for the end of such a response. Change: connections to targets report the end of their input apart from their loss, and only the former ends a response without a length. Why it works: an end of input is read only after all bytes before it; after a reset none is read. Evidence: HttpConnectionsTest fills the socket's buffer and resets the response: "end" before, ANSWER_CUT now; a response that ends in order during an upload is whole in both. HttpConnectionTest holds the same for a close without an end of input, and that an idle connection still closes with its input.

--- a/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnection.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -190,6 +191,13 @@
     reset();
   }
 
+  @Override
+  public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+    if (event instanceof ChannelInputShutdownEvent) {
+      close();
+    }
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     reusable = false;
--- a/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnections.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnections.java
@@ -60,6 +60,8 @@
                 NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_INTERVAL_SECONDS)
             .option(
                 NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), MAX_UNACKNOWLEDGED_PROBES)
+            // Tells the end of the input, which may end a response, from a lost connection.
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis())
             .handler(
                 new ChannelInitializer<Channel>() {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/http/ResponseDecoder.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/ResponseDecoder.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -12,6 +13,7 @@
   private static final int MAX_HEAD_BYTES = 65_536;
 
   private final HttpConnection connection;
+  private boolean inputEnded;
 
   ResponseDecoder(HttpConnection connection) {
     super(new HttpDecoderConfig().setMaxHeaderSize(MAX_HEAD_BYTES));
@@ -31,6 +33,21 @@
     connection.onDecoded(before - in.readableBytes());
   }
 
+  @Override
+  public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
+    inputEnded |= event instanceof ChannelInputShutdownEvent;
+    super.userEventTriggered(ctx, event);
+  }
+
+  @Override
+  protected void decodeLast(ChannelHandlerContext ctx, ByteBuf in, List<Object> out)
+      throws Exception {
+    // A lost connection doesn't end a response without a length; only the end of its input does.
+    if (inputEnded) {
+      super.decodeLast(ctx, in, out);
+    }
+  }
+
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
     return connection.isHeadRequest() || super.isContentAlwaysEmpty(message);
--- a/daemon/src/test/java/org/cowslipmoor/daemon/http/HttpConnectionTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/http/HttpConnectionTest.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
@@ -59,6 +60,43 @@
     assertThat(channel.isActive(), is(false));
   }
 
+  /**
+   * Guards against a response that looks complete although its connection was lost: while the
+   * request is still being written, that shows as a failed write, after which the channel closes
+   * without an exception.
+   */
+  @Test
+  void responseWithoutLengthIsCutWhenItsConnectionIsLost() {
+    start(HttpMethod.POST);
+
+    read("HTTP/1.1 200 OK\r\n\r\npart");
+    channel.close();
+
+    assertThat(ends, contains("ANSWER_CUT"));
+  }
+
+  @Test
+  void responseWithoutLengthEndsWithItsConnection() {
+    start(HttpMethod.POST);
+
+    read("HTTP/1.1 200 OK\r\n\r\nwhole");
+    channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+
+    assertThat(ends, contains("end"));
+    assertThat(channel.isOpen(), is(false));
+  }
+
+  @Test
+  void idleConnectionIsClosedAtTheEndOfItsInput() {
+    start(HttpMethod.GET);
+    read("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+
+    channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+
+    assertThat(ends, contains("end"));
+    assertThat(channel.isOpen(), is(false));
+  }
+
   private record Ends(List<String> all) implements ExchangeListener {
     @Override
     public boolean onHead(HttpResponse head) {
--- /dev/null
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/http/HttpConnectionsTest.java
@@ -0,0 +1,112 @@
+package org.cowslipmoor.daemon.http;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests exchanges over loopback. */
+final class HttpConnectionsTest {
+  /** More than the sockets buffer, so that a part of the body always waits to be written. */
+  private static final int BODY_BYTES = 64 << 20;
+
+  private static final long TIMEOUT_SECONDS = 20;
+  private static final String PART = "HTTP/1.1 200 OK\r\n\r\npart";
+
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoop loop = group.next();
+  private final HttpConnections connections =
+      new HttpConnections(loop, Duration.ofSeconds(1), Duration.ofSeconds(1));
+
+  @AfterEach
+  void close() {
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  /** How an exchange ended: "end" or the failure. */
+  private static final class Observer implements ExchangeListener {
+    final CompletableFuture<Void> data = new CompletableFuture<>();
+    final CompletableFuture<String> end = new CompletableFuture<>();
+
+    @Override
+    public boolean onHead(HttpResponse head) {
+      return true;
+    }
+
+    @Override
+    public void onData(ByteBuf received) {
+      data.complete(null);
+    }
+
+    @Override
+    public void onEnd() {
+      end.complete("end");
+    }
+
+    @Override
+    public void onFailure(ExchangeFailure failure) {
+      end.complete(failure.toString());
+    }
+  }
+
+  /** Returns how an upload ends whose target closes the connection after a part of a response. */
+  private String endOfUpload(boolean isReset) throws Exception {
+    Observer observer = new Observer();
+    try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      loop.execute(() -> upload("127.0.0.1:" + server.getLocalPort(), observer));
+      try (Socket target = server.accept()) {
+        target.getOutputStream().write(PART.getBytes(StandardCharsets.US_ASCII));
+        observer.data.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        if (isReset) {
+          target.setSoLinger(true, 0);
+        } else {
+          target.shutdownOutput();
+          return observer.end.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        }
+      }
+      return observer.end.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+  }
+
+  private void upload(String address, ExchangeListener listener) {
+    DefaultHttpRequest head =
+        new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/upload");
+    head.headers().set("content-length", BODY_BYTES);
+    Exchange exchange = connections.start(address, head, listener);
+    exchange.write(Unpooled.wrappedBuffer(new byte[BODY_BYTES]), () -> {});
+    exchange.end();
+  }
+
+  /**
+   * Guards against taking a part of a response for the whole: while the request is being written, a
+   * reset shows as a failed write first.
+   */
+  @Test
+  void responseWithoutLengthThatIsResetDuringTheUploadIsCut() throws Exception {
+    assertThat(endOfUpload(true), is("ANSWER_CUT"));
+  }
+
+  @Test
+  void responseWithoutLengthMayEndDuringTheUpload() throws Exception {
+    assertThat(endOfUpload(false), is("end"));
+  }
+}
