Count the end of a request once

Cause: closing the writer of a relayed response can end the exchange at once, and the relay then ended it a second time. Change: the end of an exchange is counted once. Why it matters: a planned stop waits until no request is in progress, and a count below zero made it wait until shortly before the end of its grace period. Evidence: GatewayTest#requestsThatHaveEndedAreNotInProgress read -20 after 20 requests before, and 0 now.

--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
@@ -462,6 +462,9 @@
   }
 
   private void finish() {
+    if (ended) {
+      return;
+    }
     ended = true;
     gateway.onRequestEnd();
     if (deadlineTimer != null) {
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/GatewayTest.java
@@ -53,6 +53,20 @@
   /** More bytes than the buffers of two sockets hold, but fewer than they transfer in a second. */
   private static final long BUFFERED_BYTES = 24 << 20;
 
+  /** Guards against a planned stop that waits for requests that have ended. */
+  @Test
+  void requestsThatHaveEndedAreNotInProgress() throws Exception {
+    target("t", ScriptedTarget.ok("answer"));
+    WebClient client = start(view("sheets", RangeTable.empty()));
+
+    for (int i = 0; i < 20; i++) {
+      send(client, HttpMethod.POST, "/once/a", "body");
+    }
+
+    String page = metrics.get("/metrics").aggregate().join().contentUtf8();
+    assertThat(page, containsString("cowslipmoor_requests_in_progress 0\n"));
+  }
+
   @Test
   void requestAndResponseAreForwardedUnchanged() throws Exception {
     final ScriptedTarget t = target("t", ScriptedTarget.ok("answer"));
