End a request as soon as its caller has left

Callers that left kept targets at work for up to a second more (GONE). Cause: after an HTTP/1 connection is closed, the server aborts its unfinished responses only a second later. Until then the exchange learned of it when it wrote the response, or sent the request anew. Change: the tracker of the callers' connections knows their requests, and ends them when the channel closes, before the server is notified.

--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/CallerConnections.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/CallerConnections.java
@@ -5,15 +5,18 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.cowslipmoor.core.routing.CallerLimits;
 
 /**
- * Tracks the open connections of callers, and closes those that carry no request: all of them in a
- * graceful shutdown, otherwise those that stay idle or take too long to send a request's head.
- * Confined to the event loop.
+ * Tracks the open connections of callers and their requests. Ends the requests of a connection as
+ * soon as it is closed, which the server reports only a second later. Closes connections that carry
+ * no request: all of them in a graceful shutdown, otherwise those that stay idle or take too long
+ * to send a request's head. Confined to the event loop.
  */
 final class CallerConnections {
   /** Time that a new connection is kept open to receive its first request. */
@@ -34,23 +37,29 @@
     if (isForRequests) {
       pipeline.addFirst(new ReadObserver(state));
     }
-    channel.closeFuture().addListener(unused -> states.remove(channel));
+    channel
+        .closeFuture()
+        .addListener(
+            unused -> {
+              states.remove(channel);
+              List.copyOf(state.requests).forEach(GatewayExchange::endIfCallerDisconnected);
+            });
   }
 
   /** Records the start of a request on a connection. */
-  void onRequestStart(Channel channel) {
+  void onRequestStart(Channel channel, GatewayExchange request) {
     ConnectionState s = states.get(channel);
     if (s != null) {
-      s.requestsInProgress++;
+      s.requests.add(request);
       s.headStartedAt = 0;
     }
   }
 
   /** Records the end of a request on a connection, after its response. */
-  void onRequestEnd(Channel channel) {
+  void onRequestEnd(Channel channel, GatewayExchange request) {
     ConnectionState s = states.get(channel);
     if (s != null) {
-      s.requestsInProgress--;
+      s.requests.remove(request);
       s.idleSince = System.nanoTime();
     }
   }
@@ -65,7 +74,7 @@
           s.headStartedAt == 0
               ? now - s.idleSince > maxIdleNanos
               : now - s.headStartedAt > maxHeadNanos;
-      if (s.isForRequests && s.requestsInProgress == 0 && isExpired) {
+      if (s.isForRequests && s.requests.isEmpty() && isExpired) {
         e.getKey().close();
       }
     }
@@ -79,7 +88,7 @@
     long now = System.nanoTime();
     for (Map.Entry<Channel, ConnectionState> e : List.copyOf(states.entrySet())) {
       ConnectionState s = e.getValue();
-      if (s.requestsInProgress == 0 && now - s.acceptedAt >= FIRST_REQUEST_TIMEOUT_NANOS) {
+      if (s.requests.isEmpty() && now - s.acceptedAt >= FIRST_REQUEST_TIMEOUT_NANOS) {
         e.getKey().close();
       }
     }
@@ -90,7 +99,7 @@
   private static final class ConnectionState {
     final long acceptedAt = System.nanoTime();
     final boolean isForRequests;
-    int requestsInProgress;
+    final Set<GatewayExchange> requests = new HashSet<>();
 
     /** Time since which no request has been in progress. */
     long idleSince = acceptedAt;
@@ -113,7 +122,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
-      if (state.requestsInProgress == 0 && state.headStartedAt == 0) {
+      if (state.requests.isEmpty() && state.headStartedAt == 0) {
         state.headStartedAt = System.nanoTime();
       }
       ctx.fireChannelRead(message);
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
@@ -103,7 +103,7 @@
     gateway.onRequestStart();
     Channel channel = callerChannel;
     if (channel != null) {
-      gateway.callers().onRequestStart(channel);
+      gateway.callers().onRequestStart(channel, this);
     }
     if (gateway.isStopping()) {
       ctx.initiateConnectionShutdown();
@@ -113,7 +113,7 @@
         .handle(
             (unused, error) -> {
               if (channel != null) {
-                gateway.callers().onRequestEnd(channel);
+                gateway.callers().onRequestEnd(channel, this);
               }
               onWriterDone(error);
               return null;
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/ScriptedTarget.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/ScriptedTarget.java
@@ -10,10 +10,12 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.discovery.TargetIncarnation;
@@ -23,6 +25,12 @@
   final List<String> requests = new CopyOnWriteArrayList<>();
   final AtomicInteger connections = new AtomicInteger();
 
+  /** Ids of the requests that were read, in that order. */
+  final BlockingQueue<String> received = new LinkedBlockingQueue<>();
+
+  /** Id of the last request on each connection that has ended, in the order of their ends. */
+  final BlockingQueue<String> disconnected = new LinkedBlockingQueue<>();
+
   /**
    * The number of bytes of the first unbounded response that were written until the host closed the
    * connection.
@@ -103,6 +111,7 @@
   }
 
   private void serve(Socket socket) {
+    String lastId = "";
     try (socket) {
       BufferedReader in =
           new BufferedReader(
@@ -135,6 +144,8 @@
           request.append((char) next);
         }
         requests.add(request.toString());
+        lastId = requestId;
+        received.add(requestId);
         if (response != null) {
           continue;
         }
@@ -157,6 +168,8 @@
       }
     } catch (IOException e) {
       throw new UncheckedIOException(e);
+    } finally {
+      disconnected.add(lastId);
     }
   }
 
