Bound the use of a draining owner from its announcement

Requests reached a draining owner of keys up to 2.2 s after its announcement, while the coordinator that relays the store's changes was frozen (DRAIN). Cause: a host may learn of the announcement 1.0 s late, and then used the owner for 1.2 s from that moment. Each is within the platform's 2 s, the sum isn't. A host that starts uses no owner that drains already. Why it works: the announcement came after that moment, so that the age of the state is part of the 1.6 s instead of being added.

--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
@@ -13,6 +13,7 @@
 import java.util.random.RandomGenerator;
 import org.cowslipmoor.core.admission.TargetLoadBalancer;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
+import org.cowslipmoor.core.discovery.DrainDeadlines;
 import org.cowslipmoor.core.discovery.TargetDirectory;
 import org.cowslipmoor.core.fleet.FleetSize;
 import org.cowslipmoor.core.fleet.FleetState;
@@ -30,9 +31,6 @@
 
 /** Holds the state that all requests of one host share. Confined to the host's event loop. */
 public final class Gateway {
-  /** Time for which a draining target still receives requests for the keys that it owns. */
-  private static final long OWNER_DRAIN_NANOS = 1_200_000_000L;
-
   /** Minimum delay of a periodic task at which the host is considered to lag behind its callers. */
   private static final long LAG_THRESHOLD_NANOS = 150_000_000L;
 
@@ -53,7 +51,7 @@
   private final FleetSize fleetSize = FleetSize.create(System.nanoTime());
   private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
   private final RetryCounts retryCounts = new RetryCounts(System.nanoTime());
-  private final Map<String, Long> drainingSince = new HashMap<>();
+  private final DrainDeadlines drainDeadlines = DrainDeadlines.create(System.nanoTime());
   private final CallerConnections callers = new CallerConnections();
   private final MemoryBudget bodyMemory = MemoryBudget.create(MAX_BODY_MEMORY_BYTES);
   private SharedRetryBudget.Limits retryLimits;
@@ -102,14 +100,12 @@
     loadBalancer.retain(all.keySet());
     fleetSize.onCount(newView.members().size(), now);
     updateConnectionLimits(now);
-    drainingSince.keySet().retainAll(all.keySet());
-    for (DiscoveredTarget t : all.values()) {
-      if (t.draining()) {
-        drainingSince.putIfAbsent(t.id(), now);
-      } else {
-        drainingSince.remove(t.id());
-      }
-    }
+    drainDeadlines.onTargets(all.values());
+  }
+
+  /** Records the time at which the view of the store was last known to be current. */
+  public void onStoreConfirmed(long at) {
+    drainDeadlines.onConfirmed(at);
   }
 
   /** Applies the aggregated state of all hosts. */
@@ -218,9 +214,7 @@
         .find(service, key)
         .map(RangeEntry::owner)
         .flatMap(directory::find)
-        .filter(
-            t ->
-                !t.draining() || now - drainingSince.getOrDefault(t.id(), now) < OWNER_DRAIN_NANOS);
+        .filter(t -> drainDeadlines.isUsable(t, now));
   }
 
   private long configurationVersion() {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -280,6 +280,7 @@
     long now = System.nanoTime();
     gateway.onLag(now - lastTickAt - TimeUnit.MILLISECONDS.toNanos(TICK_INTERVAL_MILLIS), now);
     lastTickAt = now;
+    gateway.onStoreConfirmed(store.confirmedAt());
     gateway.tick(now);
     coordination.tick();
     store.onRelayAvailable(gateway.fleet().relaysStore() && !coordination.isCoordinator());
