Let the target of a test respond to a request only

Cause: HttpConnectionsTest failed once in a run of the whole check beside load: "connection delivered bytes that belong to no pending response". Its target responded as soon as it had accepted the connection; after a slow connect the host starts the exchange some milliseconds later, and rightly takes bytes before that for unexpected ones. Change: the target reads the beginning of the request first. The assertions and time limits stay.

--- a/daemon/src/test/java/org/cowslipmoor/daemon/http/HttpConnectionsTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/http/HttpConnectionsTest.java
@@ -74,6 +74,7 @@
     try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
       loop.execute(() -> upload("127.0.0.1:" + server.getLocalPort(), observer));
       try (Socket target = server.accept()) {
+        target.getInputStream().read();
         target.getOutputStream().write(PART.getBytes(StandardCharsets.US_ASCII));
         observer.data.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
         if (isReset) {
