--- a/core/src/main/java/org/cowslipmoor/core/discovery/DiscoveredTarget.java
+++ b/core/src/main/java/org/cowslipmoor/core/discovery/DiscoveredTarget.java
@@ -31,4 +31,10 @@
   public String id() {
     return incarnation.id();
   }
+
+  /** Returns this target as one that is about to leave. */
+  public DiscoveredTarget asDraining() {
+    return new DiscoveredTarget(
+        incarnation, service, address, dataCentre, slots, true, warmUpMillis);
+  }
 }
--- a/core/src/main/java/org/cowslipmoor/core/discovery/TargetDirectory.java
+++ b/core/src/main/java/org/cowslipmoor/core/discovery/TargetDirectory.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** Indexes the registered targets, in order of their ids. Immutable. */
 public final class TargetDirectory {
@@ -50,6 +51,17 @@
     return new TargetDirectory(byId.buildOrThrow(), lists.buildOrThrow());
   }
 
+  /** Returns this directory with the given targets, and those that drain already, as draining. */
+  public TargetDirectory withDraining(Set<TargetIncarnation> draining) {
+    if (draining.isEmpty()) {
+      return this;
+    }
+    return of(
+        byId.values().stream()
+            .map(t -> draining.contains(t.incarnation()) ? t.asDraining() : t)
+            .toList());
+  }
+
   /** Returns all targets by id, including draining ones. */
   public ImmutableMap<String, DiscoveredTarget> all() {
     return byId;
