Log which connection a target's rejection came on

Cause: the operators' logs can't tell the hypotheses of REFUSED apart. No line says on which connection a rejection came, whether that connection had rejected the same id before, or that a response was surplus. Armeria reported exceptions without a request's id: those with which the host closes a response early.

Change: event=rejection, surplus_response, response_aborted and unexpected_bytes name request, target and connection, at most 20 lines a second each; three counters. A connection keeps fingerprints of the ids that it rejected, for the log only. GatewayService logs an exception of its own, since Armeria's report of exceptions is off. A response that its target aborts no longer counts as a caller that left. The decisions on requests are the same.

Measured: DuplicateRejectionTest, HttpConnectionTest, HttpConnectionsTest, RetiredIdsTest, GatewayTest, TruncatedResponseTest, DisconnectedCallerTest and UploadTest pass.

--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Attempt.java
@@ -47,6 +47,7 @@
   private final Gateway gateway;
   private final DiscoveredTarget target;
   private final long expectedNanos;
+  private final int number;
   private final boolean isRepeated;
   private final long startedAt = System.nanoTime();
   private @Nullable Exchange targetExchange;
@@ -67,6 +68,7 @@
   /**
    * Creates an attempt that has not started.
    *
+   * @param number number of the attempt, from 1
    * @param isRepeated whether the request has already been sent to this target
    */
   Attempt(
@@ -74,11 +76,13 @@
       Gateway gateway,
       DiscoveredTarget target,
       long expectedNanos,
+      int number,
       boolean isRepeated) {
     this.callerExchange = callerExchange;
     this.gateway = gateway;
     this.target = target;
     this.expectedNanos = expectedNanos;
+    this.number = number;
     this.isRepeated = isRepeated;
   }
 
@@ -90,8 +94,11 @@
         isRepeated
             ? gateway
                 .connections()
-                .startOnNewConnection(target.address(), createTargetRequest(), this)
-            : gateway.connections().start(target.address(), createTargetRequest(), this);
+                .startOnNewConnection(
+                    target.address(), createTargetRequest(), this, callerExchange.requestId())
+            : gateway
+                .connections()
+                .start(target.address(), createTargetRequest(), this, callerExchange.requestId());
     targetExchange = e;
     if (ended) {
       return;
@@ -164,10 +171,23 @@
         id == null
             ? h.isNotRun() && !targetExchange().isOnReusedConnection()
             : id.equals(callerExchange.requestId());
-    if (!belongsToRequest || ended) {
+    if (ended) {
       return false;
     }
     headReceivedAt = System.nanoTime();
+    if (!belongsToRequest) {
+      gateway.count(GatewayMetric.SURPLUS_ANSWERS);
+      gateway
+          .log()
+          .onSurplusResponse(
+              callerExchange.requestId(),
+              target,
+              head.status().code(),
+              id,
+              targetExchange(),
+              headReceivedAt);
+      return false;
+    }
     responseHead = h;
     notRun = h.isNotRun();
     misdirected = h.isMisdirected();
@@ -175,12 +195,14 @@
     boolean isServerError = head.status().code() >= MIN_SERVER_ERROR_STATUS;
     if (notRun) {
       outcome = "turned away with " + head.status().code();
+      onRejectionHead(head.status().code());
       startDiscarding();
       return true;
     }
     if (isServerError) {
       outcome = "failed with " + head.status().code();
       if (callerExchange.tryAcquireRetry(this, headReceivedAt)) {
+        targetExchange().retireId();
         startDiscarding();
         return true;
       }
@@ -250,8 +272,7 @@
         (System.nanoTime() - startedAt) / NANOS_PER_MILLI);
     gateway.loadBalancer().onFailure(target, System.nanoTime());
     if (relay != null) {
-      relay.abort(new IllegalStateException("the target aborted its response"));
-      callerExchange.onResponseAborted();
+      callerExchange.onResponseAborted("the target aborted its response");
       return;
     }
     if (!discarding) {
@@ -260,6 +281,16 @@
     callerExchange.onAttemptFailed(this);
   }
 
+  private void onRejectionHead(int status) {
+    Exchange e = targetExchange();
+    gateway.count(GatewayMetric.TARGET_REJECTIONS);
+    gateway
+        .log()
+        .onRejection(
+            callerExchange.requestId(), target, status, number, e, e.isIdRetired(), headReceivedAt);
+    e.retireId();
+  }
+
   private void startDiscarding() {
     discarding = true;
     timer = schedule(this::stopDiscarding, MAX_DISCARD_NANOS);
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
@@ -52,6 +52,7 @@
   private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
   private final RetryCounts retryCounts = new RetryCounts(System.nanoTime());
   private final DrainDeadlines drainDeadlines = DrainDeadlines.create(System.nanoTime());
+  private final GatewayLog log = new GatewayLog(System.nanoTime());
   private final CallerConnections callers = new CallerConnections();
   private final MemoryBudget bodyMemory = MemoryBudget.create(MAX_BODY_MEMORY_BYTES);
   private SharedRetryBudget.Limits retryLimits;
@@ -86,6 +87,7 @@
     gauge(GatewayMetric.TARGETS, () -> view.get().directory().all().size());
     gauge(GatewayMetric.CONFIGURATION, this::configurationVersion);
     gauge(GatewayMetric.BODY_MEMORY, bodyMemory::reservedBytes);
+    gauge(GatewayMetric.UNEXPECTED_BYTES, connections::unexpectedBytesCount);
   }
 
   /** Applies new limits on retries, from the next request on. */
@@ -247,6 +249,10 @@
     return connections;
   }
 
+  GatewayLog log() {
+    return log;
+  }
+
   HeaderCodec headerCodec() {
     return headerCodec;
   }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
@@ -299,7 +299,8 @@
       case Placement.Send p -> {
         boolean isRepeated = !triedTargets.add(p.target().id());
         attemptCount++;
-        attempt = new Attempt(this, gateway, p.target(), p.expectedNanos(), isRepeated);
+        attempt =
+            new Attempt(this, gateway, p.target(), p.expectedNanos(), attemptCount, isRepeated);
         attempt.start();
       }
       case Placement.Reject p ->
@@ -394,9 +395,16 @@
   }
 
   /** Handles a relayed response that the target aborted. */
-  void onResponseAborted() {
+  void onResponseAborted(String reason) {
     gateway.count(GatewayMetric.ANSWERS_CUT);
     finish();
+    closeIncomplete(reason);
+  }
+
+  /** Ends the response to the caller so that it can't be mistaken for a complete one. */
+  private void closeIncomplete(String reason) {
+    gateway.log().onAbortedResponse(requestId, service, reason, System.nanoTime());
+    writer.close(new IllegalStateException(reason));
   }
 
   private void onDeadline() {
@@ -407,7 +415,7 @@
     if (running != null && running.hasResponseBegun()) {
       running.cancel();
       finish();
-      writer.close(new IllegalStateException("the deadline passed before the end of the response"));
+      closeIncomplete("the deadline passed before the end of the response");
       return;
     }
     mayHaveRun |= running != null && running.mayHaveRun();
@@ -438,7 +446,7 @@
       attempt.cancel();
     }
     finish();
-    writer.close(new IllegalStateException("the caller aborted its request"));
+    closeIncomplete("the caller aborted its request");
   }
 
   private void reject(ResultCode code, String reason, long retryAfterNanos) {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -333,6 +333,7 @@
         .idleTimeoutMillis(0)
         .http1MaxHeaderSize(MAX_HEAD_BYTES)
         .http1MaxInitialLineLength(MAX_HEAD_BYTES)
+        .unloggedExceptionsReportIntervalMillis(0)
         .disableServerHeader()
         .disableDateHeader()
         .build();
--- /dev/null
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayLog.java
@@ -0,0 +1,103 @@
+package org.cowslipmoor.daemon.gateway;
+
+import java.util.concurrent.TimeUnit;
+import org.cowslipmoor.core.discovery.DiscoveredTarget;
+import org.cowslipmoor.core.limit.LogLimit;
+import org.cowslipmoor.daemon.http.Exchange;
+import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
+
+/**
+ * Logs what happens to single requests, with a bound on the number of lines for each kind of event.
+ * Confined to the event loop; times are nanoseconds.
+ */
+final class GatewayLog {
+  private static final int MAX_LINES = 20;
+  private static final long PERIOD_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  private final LogLimit rejections;
+  private final LogLimit surplusResponses;
+  private final LogLimit abortedResponses;
+  private final LogLimit exceptions;
+
+  GatewayLog(long now) {
+    rejections = LogLimit.create(MAX_LINES, PERIOD_NANOS, now);
+    surplusResponses = LogLimit.create(MAX_LINES, PERIOD_NANOS, now);
+    abortedResponses = LogLimit.create(MAX_LINES, PERIOD_NANOS, now);
+    exceptions = LogLimit.create(MAX_LINES, PERIOD_NANOS, now);
+  }
+
+  /**
+   * Logs that a target rejected a request.
+   *
+   * @param attempt number of the attempt, from 1
+   * @param isIdRetired whether the connection had rejected a request with the same id before
+   */
+  void onRejection(
+      String requestId,
+      DiscoveredTarget target,
+      int status,
+      int attempt,
+      Exchange exchange,
+      boolean isIdRetired,
+      long now) {
+    if (rejections.tryAcquire(now)) {
+      Logger.info(
+          "event=rejection request={} target={} status={} attempt={} connection={} exchanges={}"
+              + " rejected_before={} suppressed={}",
+          requestId,
+          target.id(),
+          status,
+          attempt,
+          exchange.connectionId(),
+          exchange.connectionExchanges(),
+          isIdRetired,
+          rejections.drainSuppressed());
+    }
+  }
+
+  /**
+   * Logs that a response was skipped because it does not belong to the pending request.
+   *
+   * @param responseId the id that the response bears; null if it bears none
+   */
+  void onSurplusResponse(
+      String requestId,
+      DiscoveredTarget target,
+      int status,
+      @Nullable String responseId,
+      Exchange exchange,
+      long now) {
+    if (surplusResponses.tryAcquire(now)) {
+      Logger.info(
+          "event=surplus_response pending={} response={} target={} status={} connection={}"
+              + " exchanges={} suppressed={}",
+          requestId,
+          responseId,
+          target.id(),
+          status,
+          exchange.connectionId(),
+          exchange.connectionExchanges(),
+          surplusResponses.drainSuppressed());
+    }
+  }
+
+  /** Logs that a caller's request ended without a complete response. */
+  void onAbortedResponse(String requestId, String service, String reason, long now) {
+    if (abortedResponses.tryAcquire(now)) {
+      Logger.info(
+          "event=response_aborted request={} service={} reason=\"{}\" suppressed={}",
+          requestId,
+          service,
+          reason,
+          abortedResponses.drainSuppressed());
+    }
+  }
+
+  /** Logs an exception that ended a request. */
+  void onException(RuntimeException exception, long now) {
+    if (exceptions.tryAcquire(now)) {
+      Logger.error(exception, "event=request_failed suppressed={}", exceptions.drainSuppressed());
+    }
+  }
+}
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayMetric.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayMetric.java
@@ -5,6 +5,11 @@
   REQUESTS("cowslipmoor_requests_total", "Requests taken from callers."),
   ANSWERS("cowslipmoor_answers_total", "Answers of targets passed on to their end."),
   ANSWERS_CUT("cowslipmoor_answers_cut_total", "Answers that broke off on their way."),
+  TARGET_REJECTIONS("cowslipmoor_target_rejections_total", "Requests that targets rejected."),
+  SURPLUS_ANSWERS(
+      "cowslipmoor_surplus_answers_total", "Answers of targets to no pending request, skipped."),
+  UNEXPECTED_BYTES(
+      "cowslipmoor_unexpected_bytes_total", "Connections closed for bytes of no pending answer."),
   RETRIES("cowslipmoor_retries_total", "Requests sent once more."),
   REFUSALS("cowslipmoor_refusals_total", "Requests refused, by result code."),
   CALLERS_GONE("cowslipmoor_callers_gone_total", "Callers that left before their answer."),
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayService.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayService.java
@@ -18,7 +18,12 @@
   @Override
   public HttpResponse serve(ServiceRequestContext ctx, HttpRequest request) {
     HttpResponseWriter writer = HttpResponse.streaming();
-    new GatewayExchange(gateway, ctx, request, writer).start();
+    try {
+      new GatewayExchange(gateway, ctx, request, writer).start();
+    } catch (RuntimeException e) {
+      gateway.log().onException(e, System.nanoTime());
+      throw e;
+    }
     return writer;
   }
 }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/ResponseRelay.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/ResponseRelay.java
@@ -72,11 +72,6 @@
     writer.close();
   }
 
-  /** Aborts the response, so that the caller can't mistake it for a complete one. */
-  void abort(Throwable cause) {
-    writer.close(cause);
-  }
-
   /** Returns the number of body bytes relayed so far. */
   long bodyBytes() {
     return bodyBytes;
--- a/daemon/src/main/java/org/cowslipmoor/daemon/http/Exchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/Exchange.java
@@ -13,6 +13,7 @@
 public final class Exchange {
   private final HttpRequest head;
   private final ExchangeListener listener;
+  private final @Nullable Long idFingerprint;
   private final Queue<Chunk> unsent = new ArrayDeque<>();
   private @Nullable HttpConnection connection;
   private boolean bodyEnded;
@@ -20,9 +21,15 @@
 
   private record Chunk(ByteBuf data, Runnable whenWritten) {}
 
-  Exchange(HttpRequest head, ExchangeListener listener) {
+  /**
+   * Creates an exchange that has not started.
+   *
+   * @param id the correlation id that the request and its response bear; null if they bear none
+   */
+  Exchange(HttpRequest head, ExchangeListener listener, @Nullable String id) {
     this.head = head;
     this.listener = listener;
+    this.idFingerprint = id == null ? null : RetiredIds.fingerprint(id);
   }
 
   /**
@@ -73,6 +80,28 @@
     return connection != null && connection.isReused();
   }
 
+  /** Returns a short name of the connection, for logs. */
+  public String connectionId() {
+    return connection == null ? "none" : connection.id();
+  }
+
+  /** Returns the number of exchanges that the connection has carried, including this one. */
+  public int connectionExchanges() {
+    return connection == null ? 0 : connection.exchanges();
+  }
+
+  /** Returns whether an exchange has retired this exchange's correlation id on the connection. */
+  public boolean isIdRetired() {
+    return connection != null && idFingerprint != null && connection.hasRetired(idFingerprint);
+  }
+
+  /** Retires this exchange's correlation id on the connection. */
+  public void retireId() {
+    if (connection != null && idFingerprint != null) {
+      connection.retire(idFingerprint);
+    }
+  }
+
   boolean hasEnded() {
     return ended;
   }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnection.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnection.java
@@ -41,10 +41,11 @@
 
   private final String address;
   private final Channel channel;
+  private final UnexpectedBytes unexpectedBytes;
   private final BiConsumer<HttpConnection, Boolean> onFree;
+  private final RetiredIds retiredIds = new RetiredIds();
   private @Nullable Exchange current;
-  private boolean started;
-  private boolean reused;
+  private int exchanges;
   private boolean headSeen;
   private boolean skipping;
   private long bytesBeforeHead;
@@ -63,10 +64,12 @@
       String address,
       Channel channel,
       long idleLimitNanos,
+      UnexpectedBytes unexpectedBytes,
       BiConsumer<HttpConnection, Boolean> onFree) {
     this.address = address;
     this.channel = channel;
     this.idleLimitNanos = idleLimitNanos;
+    this.unexpectedBytes = unexpectedBytes;
     this.onFree = onFree;
     this.idleSince = System.nanoTime();
   }
@@ -75,6 +78,24 @@
     return address;
   }
 
+  /** Returns a short name of the connection, for logs. */
+  String id() {
+    return channel.id().asShortText();
+  }
+
+  /** Returns the number of exchanges started so far. */
+  int exchanges() {
+    return exchanges;
+  }
+
+  boolean hasRetired(long idFingerprint) {
+    return retiredIds.contains(idFingerprint);
+  }
+
+  void retire(long idFingerprint) {
+    retiredIds.add(idFingerprint);
+  }
+
   /** Adds the handlers of this connection to its channel's pipeline. */
   void addHandlers(ChannelPipeline pipeline) {
     pipeline.addLast(new ResponseDecoder(this), new HttpRequestEncoder(), this);
@@ -82,8 +103,7 @@
 
   void start(Exchange exchange) {
     current = exchange;
-    reused = started;
-    started = true;
+    exchanges++;
     headSeen = false;
     bytesBeforeHead = 0;
     skippedBytes = 0;
@@ -139,9 +159,7 @@
   /** Resets the connection, which delivered bytes that belong to no pending response. */
   void onUnexpectedBytes() {
     if (reusable || current != null) {
-      Logger.warn(
-          "connection to {} delivered bytes that belong to no pending response; closing it",
-          address);
+      unexpectedBytes.onBytes(this, current == null, System.nanoTime());
     }
     fail(ExchangeFailure.MALFORMED);
     reset();
@@ -149,7 +167,7 @@
 
   /** Returns whether the connection carried other exchanges before the current one. */
   boolean isReused() {
-    return reused;
+    return exchanges > 1;
   }
 
   boolean isHeadRequest() {
@@ -229,11 +247,10 @@
     } else if (exchange.listener().onHead(head)) {
       headSeen = true;
     } else {
-      if (reusable) {
-        Logger.warn(
-            "connection to {} delivered the response to another request; it is not reused",
-            address);
-      }
+      Logger.debug(
+          "connection {} to {} delivered the response to another request; it is not reused",
+          id(),
+          address);
       skipping = true;
       reusable = false;
     }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnections.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnections.java
@@ -36,6 +36,7 @@
   private final EventLoop loop;
   private final Bootstrap bootstrap;
   private final long idleLimitNanos;
+  private final UnexpectedBytes unexpectedBytes = new UnexpectedBytes();
   private final Map<String, Deque<HttpConnection>> idle = new HashMap<>();
 
   /**
@@ -79,7 +80,19 @@
    * @param head the request's head; the body is written by {@link Exchange#write}
    */
   public Exchange start(String address, HttpRequest head, ExchangeListener listener) {
-    Exchange exchange = new Exchange(head, listener);
+    return start(address, head, listener, null);
+  }
+
+  /**
+   * Starts an exchange on an idle connection or a new one.
+   *
+   * @param address address to connect to, as {@code ip:port}
+   * @param head the request's head; the body is written by {@link Exchange#write}
+   * @param id the correlation id that the request and its response bear; null if they bear none
+   */
+  public Exchange start(
+      String address, HttpRequest head, ExchangeListener listener, @Nullable String id) {
+    Exchange exchange = new Exchange(head, listener, id);
     HttpConnection reused = takeIdle(address);
     if (reused != null) {
       reused.start(exchange);
@@ -91,8 +104,8 @@
 
   /** Starts an exchange on a new connection, where no response to an earlier request can arrive. */
   public Exchange startOnNewConnection(
-      String address, HttpRequest head, ExchangeListener listener) {
-    Exchange exchange = new Exchange(head, listener);
+      String address, HttpRequest head, ExchangeListener listener, String id) {
+    Exchange exchange = new Exchange(head, listener, id);
     connect(address, exchange);
     return exchange;
   }
@@ -145,7 +158,8 @@
             return;
           }
           Channel channel = connecting.channel();
-          HttpConnection c = new HttpConnection(address, channel, idleLimitNanos, this::onFree);
+          HttpConnection c =
+              new HttpConnection(address, channel, idleLimitNanos, unexpectedBytes, this::onFree);
           c.addHandlers(channel.pipeline());
           if (System.nanoTime() - startedAt < SLOW_CONNECT_NANOS) {
             begin(c, exchange);
@@ -181,6 +195,11 @@
     }
   }
 
+  /** Returns the number of connections that delivered bytes that belong to no pending response. */
+  public long unexpectedBytesCount() {
+    return unexpectedBytes.count();
+  }
+
   /** Returns the event loop on which all methods are called. */
   public EventLoop loop() {
     return loop;
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/DuplicateRejectionTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/DuplicateRejectionTest.java
@@ -1,6 +1,7 @@
 package org.cowslipmoor.daemon.gateway;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
@@ -73,6 +74,20 @@
     assertThat(script.runs.get(), is(1));
   }
 
+  @Test
+  void rejectionsAndSkippedResponsesAreCounted() throws Exception {
+    String rejection = rejection("request-id: r-1\r\n");
+    target("t", new DuplicatingScript(rejection, rejection + rejection, ""));
+    WebClient client = start(view("sheets", RangeTable.empty()));
+    sendOnce(client, "r-1");
+    sendOnce(client, "r-2");
+
+    String page = metrics.get("/metrics").aggregate().join().contentUtf8();
+
+    assertThat(page, containsString("\ncowslipmoor_target_rejections_total 1\n"));
+    assertThat(page, containsString("\ncowslipmoor_surplus_answers_total 2\n"));
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"request-id: r-1\r\n", "request-id: r-2\r\n", ""})
   void duplicateRejectionAfterResponseIsIgnored(String id) throws Exception {
--- a/daemon/src/test/java/org/cowslipmoor/daemon/http/HttpConnectionTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/http/HttpConnectionTest.java
@@ -25,10 +25,16 @@
 
   private void start(HttpMethod method) {
     HttpConnection connection =
-        new HttpConnection("t", channel, TimeUnit.SECONDS.toNanos(1), (c, mayBeReused) -> {});
+        new HttpConnection(
+            "t",
+            channel,
+            TimeUnit.SECONDS.toNanos(1),
+            new UnexpectedBytes(),
+            (c, mayBeReused) -> {});
     connection.addHandlers(channel.pipeline());
     connection.start(
-        new Exchange(new DefaultHttpRequest(HttpVersion.HTTP_1_1, method, "/"), new Ends(ends)));
+        new Exchange(
+            new DefaultHttpRequest(HttpVersion.HTTP_1_1, method, "/"), new Ends(ends), null));
   }
 
   private void read(String bytes) {
