--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/ScriptedTarget.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/ScriptedTarget.java
@@ -1,5 +1,6 @@
 package org.cowslipmoor.daemon.gateway;
 
+import com.google.common.base.Splitter;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -9,6 +10,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -19,6 +21,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.discovery.TargetIncarnation;
+import org.jspecify.annotations.Nullable;
 
 /** A target over loopback that responds to each request with the bytes that a script returns. */
 final class ScriptedTarget implements AutoCloseable {
@@ -43,6 +46,9 @@
   /** Marks the end of a response after which the connection is closed. */
   static final String CLOSE_MARKER = "\u0004";
 
+  /** Separates pieces of a response that are written one after the other. */
+  static final String PIECE_MARKER = "\u0003";
+
   private static final int BLOCK_BYTES = 8_192;
   private final String id;
   private final ServerSocket server;
@@ -63,6 +69,21 @@
       return respond(requestId);
     }
 
+    /**
+     * Returns the response to a request.
+     *
+     * @param connection the number of the connection, from 1
+     * @param earlierIds ids of the requests that the connection has carried before
+     */
+    default @Nullable String respond(String requestId, int connection, List<String> earlierIds) {
+      return respond(requestId, !earlierIds.isEmpty());
+    }
+
+    /** Returns bytes that the target writes before it reads the body of the request. */
+    default String beforeBody(String requestId, List<String> earlierIds) {
+      return "";
+    }
+
     /** Returns whether the target responds before it reads the body of the request. */
     default boolean isEarly() {
       return false;
@@ -102,21 +123,23 @@
     try {
       while (true) {
         Socket socket = server.accept();
-        connections.incrementAndGet();
-        threads.execute(() -> serve(socket));
+        int connection = connections.incrementAndGet();
+        threads.execute(() -> serve(socket, connection));
       }
     } catch (IOException e) {
       // The socket was closed at the end of the test.
     }
   }
 
-  private void serve(Socket socket) {
+  private void serve(Socket socket, int connection) {
+    List<String> earlierIds = new ArrayList<>();
     String lastId = "";
     try (socket) {
+      socket.setTcpNoDelay(true);
       BufferedReader in =
           new BufferedReader(
               new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
-      for (boolean isReused = false; true; isReused = true) {
+      while (true) {
         StringBuilder request = new StringBuilder();
         String requestId = "";
         int length = 0;
@@ -132,10 +155,9 @@
             length = Integer.parseInt(line.substring("content-length: ".length()));
           }
         }
-        String response = script.isEarly() ? script.respond(requestId, isReused) : null;
-        if (response != null) {
-          socket.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
-        }
+        String response =
+            script.isEarly() ? script.respond(requestId, connection, earlierIds) : null;
+        write(socket, response != null ? response : script.beforeBody(requestId, earlierIds));
         for (int i = 0; i < length; i++) {
           int next = in.read();
           if (next < 0) {
@@ -147,20 +169,22 @@
         lastId = requestId;
         received.add(requestId);
         if (response != null) {
+          earlierIds.add(requestId);
           continue;
         }
-        response = script.respond(requestId, isReused);
+        response = script.respond(requestId, connection, earlierIds);
+        earlierIds.add(requestId);
         if (response == null) {
           return;
         }
         if (response.endsWith(CLOSE_MARKER)) {
           String content = response.substring(0, response.length() - CLOSE_MARKER.length());
-          socket.getOutputStream().write(content.getBytes(StandardCharsets.US_ASCII));
+          write(socket, content);
           return;
         }
         int repeatAt = response.indexOf(REPEAT_MARKER);
         String prefix = repeatAt < 0 ? response : response.substring(0, repeatAt);
-        socket.getOutputStream().write(prefix.getBytes(StandardCharsets.US_ASCII));
+        write(socket, prefix);
         if (repeatAt >= 0) {
           writeRepeatedly(socket.getOutputStream(), response.substring(repeatAt + 1));
           return;
@@ -173,6 +197,12 @@
     }
   }
 
+  private static void write(Socket socket, String response) throws IOException {
+    for (String piece : Splitter.on(PIECE_MARKER).omitEmptyStrings().split(response)) {
+      socket.getOutputStream().write(piece.getBytes(StandardCharsets.US_ASCII));
+    }
+  }
+
   private void writeRepeatedly(OutputStream out, String piece) {
     byte[] block = piece.repeat(BLOCK_BYTES / piece.length()).getBytes(StandardCharsets.US_ASCII);
     long written = 0;
