Never send a rejected request id again on its connection

Callers were told "not run" of requests that ran: a target wrote an earlier rejection once more, and the copy bore the id of the request that was under way again on the same connection.

Cause: an id that isn't unique in its scope was taken as proof. Only a retry within one exchange avoided the connection, by opening a new one; a caller's repeat under its id got the connection that was freed last.

Change: a connection retires the id of each response that may be a rejection (a rejection, or a status of 400 or more) and never carries it again, by whatever way it comes back; so on one connection an id is proof again. If all idle connections have retired the id, a new one replaces the longest idle, so that targets don't get more of them. Retries may now use a kept connection that is free of the id; startOnNewConnection is gone.

--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Attempt.java
@@ -24,6 +24,7 @@
 /** One attempt to send a request to a target. Confined to the event loop. */
 final class Attempt implements ExchangeListener {
   private static final long NANOS_PER_MILLI = 1_000_000L;
+  private static final int MIN_ERROR_STATUS = 400;
   private static final int MIN_SERVER_ERROR_STATUS = 500;
 
   /** Timeout of an attempt that can be retried, as a multiple of its expected time. */
@@ -48,7 +49,6 @@
   private final DiscoveredTarget target;
   private final long expectedNanos;
   private final int number;
-  private final boolean isRepeated;
   private final long startedAt = System.nanoTime();
   private @Nullable Exchange targetExchange;
   private @Nullable ResponseRelay relay;
@@ -69,36 +69,26 @@
    * Creates an attempt that has not started.
    *
    * @param number number of the attempt, from 1
-   * @param isRepeated whether the request has already been sent to this target
    */
   Attempt(
       GatewayExchange callerExchange,
       Gateway gateway,
       DiscoveredTarget target,
       long expectedNanos,
-      int number,
-      boolean isRepeated) {
+      int number) {
     this.callerExchange = callerExchange;
     this.gateway = gateway;
     this.target = target;
     this.expectedNanos = expectedNanos;
     this.number = number;
-    this.isRepeated = isRepeated;
   }
 
   void start() {
     gateway.loadBalancer().onSend(target, startedAt);
-    // A reused connection may deliver a duplicate of the response to the earlier attempt, which has
-    // the same id.
     Exchange e =
-        isRepeated
-            ? gateway
-                .connections()
-                .startOnNewConnection(
-                    target.address(), createTargetRequest(), this, callerExchange.requestId())
-            : gateway
-                .connections()
-                .start(target.address(), createTargetRequest(), this, callerExchange.requestId());
+        gateway
+            .connections()
+            .start(target.address(), createTargetRequest(), this, callerExchange.requestId());
     targetExchange = e;
     if (ended) {
       return;
@@ -192,17 +182,22 @@
     notRun = h.isNotRun();
     misdirected = h.isMisdirected();
     stopTimer();
+    if (notRun) {
+      logRejection(head.status().code());
+    }
+    if (notRun || head.status().code() >= MIN_ERROR_STATUS) {
+      // The target may send a duplicate of the response while the same id is in use again.
+      targetExchange().retireId();
+    }
     boolean isServerError = head.status().code() >= MIN_SERVER_ERROR_STATUS;
     if (notRun) {
       outcome = "turned away with " + head.status().code();
-      onRejectionHead(head.status().code());
       startDiscarding();
       return true;
     }
     if (isServerError) {
       outcome = "failed with " + head.status().code();
       if (callerExchange.tryAcquireRetry(this, headReceivedAt)) {
-        targetExchange().retireId();
         startDiscarding();
         return true;
       }
@@ -281,14 +276,13 @@
     callerExchange.onAttemptFailed(this);
   }
 
-  private void onRejectionHead(int status) {
+  private void logRejection(int status) {
     Exchange e = targetExchange();
     gateway.count(GatewayMetric.TARGET_REJECTIONS);
     gateway
         .log()
         .onRejection(
             callerExchange.requestId(), target, status, number, e, e.isIdRetired(), headReceivedAt);
-    e.retireId();
   }
 
   private void startDiscarding() {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
@@ -297,10 +297,9 @@
   private void send(Placement placement) {
     switch (placement) {
       case Placement.Send p -> {
-        boolean isRepeated = !triedTargets.add(p.target().id());
+        triedTargets.add(p.target().id());
         attemptCount++;
-        attempt =
-            new Attempt(this, gateway, p.target(), p.expectedNanos(), attemptCount, isRepeated);
+        attempt = new Attempt(this, gateway, p.target(), p.expectedNanos(), attemptCount);
         attempt.start();
       }
       case Placement.Reject p ->
--- a/daemon/src/main/java/org/cowslipmoor/daemon/http/Exchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/Exchange.java
@@ -95,13 +95,17 @@
     return connection != null && idFingerprint != null && connection.hasRetired(idFingerprint);
   }
 
-  /** Retires this exchange's correlation id on the connection. */
+  /** Retires this exchange's correlation id on the connection, which never carries it again. */
   public void retireId() {
     if (connection != null && idFingerprint != null) {
       connection.retire(idFingerprint);
     }
   }
 
+  @Nullable Long idFingerprint() {
+    return idFingerprint;
+  }
+
   boolean hasEnded() {
     return ended;
   }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnection.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnection.java
@@ -92,8 +92,12 @@
     return retiredIds.contains(idFingerprint);
   }
 
+  /** Retires an id; at the maximum number of ids, the connection is not reused. */
   void retire(long idFingerprint) {
     retiredIds.add(idFingerprint);
+    if (retiredIds.isFull()) {
+      reusable = false;
+    }
   }
 
   /** Adds the handlers of this connection to its channel's pipeline. */
--- a/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnections.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnections.java
@@ -15,6 +15,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import jdk.net.ExtendedSocketOptions;
@@ -84,7 +85,9 @@
   }
 
   /**
-   * Starts an exchange on an idle connection or a new one.
+   * Starts an exchange on an idle connection or a new one. A connection that has retired the id is
+   * not used: a duplicate of an earlier response there could not be told from the response to this
+   * request.
    *
    * @param address address to connect to, as {@code ip:port}
    * @param head the request's head; the body is written by {@link Exchange#write}
@@ -93,7 +96,7 @@
   public Exchange start(
       String address, HttpRequest head, ExchangeListener listener, @Nullable String id) {
     Exchange exchange = new Exchange(head, listener, id);
-    HttpConnection reused = takeIdle(address);
+    HttpConnection reused = takeIdle(address, exchange.idFingerprint());
     if (reused != null) {
       reused.start(exchange);
     } else {
@@ -102,14 +105,6 @@
     return exchange;
   }
 
-  /** Starts an exchange on a new connection, where no response to an earlier request can arrive. */
-  public Exchange startOnNewConnection(
-      String address, HttpRequest head, ExchangeListener listener, String id) {
-    Exchange exchange = new Exchange(head, listener, id);
-    connect(address, exchange);
-    return exchange;
-  }
-
   /** Closes the idle connections to an address. */
   public void closeIdle(String address) {
     Deque<HttpConnection> connections = idle.remove(address);
@@ -134,15 +129,30 @@
     idle.values().removeIf(Deque::isEmpty);
   }
 
-  private @Nullable HttpConnection takeIdle(String address) {
+  /**
+   * Takes the most recently used idle connection that has not retired the id. If there is none,
+   * closes the longest idle one, so that the connection that replaces it is not an additional one:
+   * targets limit their connections.
+   */
+  private @Nullable HttpConnection takeIdle(String address, @Nullable Long idFingerprint) {
     Deque<HttpConnection> connections = idle.get(address);
+    if (connections == null) {
+      return null;
+    }
     long now = System.nanoTime();
-    while (connections != null && !connections.isEmpty()) {
-      HttpConnection c = connections.removeLast();
-      if (c.isFresh(now)) {
+    for (Iterator<HttpConnection> it = connections.descendingIterator(); it.hasNext(); ) {
+      HttpConnection c = it.next();
+      if (!c.isFresh(now)) {
+        it.remove();
+        c.close();
+      } else if (idFingerprint == null || !c.hasRetired(idFingerprint)) {
+        it.remove();
         return c;
       }
-      c.close();
+    }
+    HttpConnection longestIdle = connections.pollFirst();
+    if (longestIdle != null) {
+      longestIdle.close();
     }
     return null;
   }
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/CopiedRejectionTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/CopiedRejectionTest.java
@@ -21,7 +21,6 @@
 import java.util.concurrent.TimeUnit;
 import org.cowslipmoor.core.range.KeyRange;
 import org.cowslipmoor.core.range.RangeTable;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -86,7 +85,6 @@
 
   @ParameterizedTest
   @ValueSource(strings = {"503 Full", "429 Many", "421 Misdirected", "408 Late"})
-  @Tag("known-red")
   void repeatOnSameConnectionOfCallerEndsWithItsOwnResponse(String status) throws Exception {
     CopyingScript script = new CopyingScript(status);
     target("t", script);
@@ -97,7 +95,6 @@
   }
 
   @Test
-  @Tag("known-red")
   void repeatOnOtherConnectionOfCallerEndsWithItsOwnResponse() throws Exception {
     CopyingScript script = new CopyingScript("503 Full");
     target("t", script);
@@ -112,7 +109,6 @@
 
   @ParameterizedTest
   @ValueSource(ints = {1, 2})
-  @Tag("known-red")
   void callersThatAreToldNotRunHaveNotRun(int targetCount) throws Exception {
     Map<String, CopyingScript> scripts = new HashMap<>();
     for (int i = 0; i < targetCount; i++) {
@@ -269,7 +265,6 @@
   }
 
   @Test
-  @Tag("known-red")
   void responseDelayedByCopyIsNotThatOfNextRepeat() throws Exception {
     target("t", new DelayingScript());
     WebClient client = start(view("sheets", RangeTable.empty()));
--- a/daemon/src/test/java/org/cowslipmoor/daemon/http/HttpConnectionTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/http/HttpConnectionTest.java
@@ -2,6 +2,8 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 
 import io.netty.buffer.ByteBuf;
@@ -103,6 +105,37 @@
     assertThat(channel.isOpen(), is(false));
   }
 
+  /** Guards against ids that are forgotten once a connection has retired many. */
+  @Test
+  void connectionWithMaximumOfRetiredIdsIsNotReused() {
+    List<Boolean> reuses = new ArrayList<>();
+    HttpConnection connection =
+        new HttpConnection(
+            "t",
+            channel,
+            TimeUnit.SECONDS.toNanos(1),
+            new UnexpectedBytes(),
+            (c, mayBeReused) -> reuses.add(mayBeReused));
+    connection.addHandlers(channel.pipeline());
+    for (int i = 0; i < RetiredIds.MAX_IDS; i++) {
+      assertThat(reuses, everyItem(is(true)));
+      Exchange exchange =
+          new Exchange(
+              new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
+              new Ends(ends),
+              "r-" + i);
+      exchange.end();
+      connection.start(exchange);
+      exchange.retireId();
+      read("HTTP/1.1 503 Full\r\ncontent-length: 0\r\n\r\n");
+    }
+
+    assertThat(reuses, hasSize(RetiredIds.MAX_IDS));
+    assertThat(reuses.get(RetiredIds.MAX_IDS - 1), is(false));
+    assertThat(channel.isOpen(), is(false));
+    assertThat(ends, everyItem(is("end")));
+  }
+
   private record Ends(List<String> all) implements ExchangeListener {
     @Override
     public boolean onHead(HttpResponse head) {
--- a/daemon/src/test/java/org/cowslipmoor/daemon/http/HttpConnectionsTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/http/HttpConnectionsTest.java
@@ -1,6 +1,7 @@
 package org.cowslipmoor.daemon.http;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 
 import io.netty.buffer.ByteBuf;
@@ -13,6 +14,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -20,8 +22,12 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.NullSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests exchanges over loopback. */
 final class HttpConnectionsTest {
@@ -29,6 +35,7 @@
   private static final int BODY_BYTES = 64 << 20;
 
   private static final long TIMEOUT_SECONDS = 20;
+  private static final int REJECTED = 503;
   private static final String PART = "HTTP/1.1 200 OK\r\n\r\npart";
 
   private final EventLoopGroup group =
@@ -110,4 +117,125 @@
   void responseWithoutLengthMayEndDuringTheUpload() throws Exception {
     assertThat(endOfUpload(false), is("end"));
   }
+
+  /** Receives responses and retires the ids of those that are rejections. */
+  private static final class Retiring implements ExchangeListener {
+    final CompletableFuture<Void> end = new CompletableFuture<>();
+    private @Nullable Exchange exchange;
+
+    @Override
+    public boolean onHead(HttpResponse head) {
+      if (head.status().code() == REJECTED && exchange != null) {
+        exchange.retireId();
+      }
+      return true;
+    }
+
+    @Override
+    public void onData(ByteBuf received) {}
+
+    @Override
+    public void onEnd() {
+      end.complete(null);
+    }
+
+    @Override
+    public void onFailure(ExchangeFailure failure) {
+      end.completeExceptionally(new IOException(failure.toString()));
+    }
+  }
+
+  private Retiring get(ServerSocket server, @Nullable String id) {
+    Retiring listener = new Retiring();
+    loop.execute(
+        () -> {
+          DefaultHttpRequest head =
+              new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+          Exchange exchange =
+              connections.start("127.0.0.1:" + server.getLocalPort(), head, listener, id);
+          listener.exchange = exchange;
+          exchange.end();
+        });
+    return listener;
+  }
+
+  private void respond(Socket target, Retiring listener, int status) throws Exception {
+    target.setSoTimeout((int) TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS));
+    assertThat(target.getInputStream().read(new byte[1_024]), greaterThan(0));
+    String response = "HTTP/1.1 %d Status\r\ncontent-length: 0\r\n\r\n".formatted(status);
+    target.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
+    listener.end.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    // The connection is free once the event loop has handled the read that ended the response.
+    loop.submit(() -> {}).sync();
+  }
+
+  @Test
+  void connectionThatRetiredTheIdIsReplaced() throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      Retiring first = get(server, "r-1");
+      try (Socket rejecting = server.accept()) {
+        respond(rejecting, first, REJECTED);
+
+        Retiring second = get(server, "r-1");
+
+        try (Socket replacement = server.accept()) {
+          respond(replacement, second, 200);
+          assertThat(rejecting.getInputStream().read(), is(-1));
+        }
+      }
+    }
+  }
+
+  @ParameterizedTest
+  @NullSource
+  @ValueSource(strings = "r-2")
+  void connectionCarriesExchangesWithOtherIds(@Nullable String id) throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      Retiring first = get(server, "r-1");
+      try (Socket target = server.accept()) {
+        respond(target, first, REJECTED);
+
+        respond(target, get(server, id), 200);
+      }
+    }
+  }
+
+  @Test
+  void idleConnectionThatHasNotRetiredTheIdIsPreferredToNewOne() throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      Retiring first = get(server, "r-1");
+      Retiring second = get(server, "r-2");
+      try (Socket free = server.accept();
+          Socket rejecting = server.accept()) {
+        respond(free, first, 200);
+        respond(rejecting, second, REJECTED);
+
+        respond(free, get(server, "r-2"), 200);
+        // Not closed: it carries the next request with another id.
+        respond(free, get(server, "r-3"), 200);
+      }
+    }
+  }
+
+  @Test
+  void longestIdleConnectionIsReplacedIfAllHaveRetiredTheId() throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      Retiring first = get(server, "r-1");
+      Retiring second = get(server, "r-1");
+      try (Socket longestIdle = server.accept();
+          Socket lastUsed = server.accept()) {
+        respond(longestIdle, first, REJECTED);
+        respond(lastUsed, second, REJECTED);
+
+        Retiring third = get(server, "r-1");
+
+        try (Socket replacement = server.accept()) {
+          respond(replacement, third, REJECTED);
+          assertThat(longestIdle.getInputStream().read(), is(-1));
+          respond(replacement, get(server, "r-2"), REJECTED);
+          respond(lastUsed, get(server, "r-2"), 200);
+        }
+      }
+    }
+  }
 }
