Test copied rejections wherever they come on a connection

Cause: the first tests place the copy just before the response to a repeat. It may as well come with the rejection, in pieces, on the idle connection, before an upload's body is read, several times, without an id, or as a copy of a 429, 408 or 503 that lacks the target's own sign; and a caller may send one id twice at the same time.

The script of the first tests wrote a copy on any connection that had carried the id; it now does so on the one that rejected it, as its comment says and as targets do.

--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/CopiedRejectionTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/CopiedRejectionTest.java
@@ -1,6 +1,7 @@
 package org.cowslipmoor.daemon.gateway;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
@@ -18,9 +19,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.BrokenBarrierException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CyclicBarrier;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.cowslipmoor.core.range.KeyRange;
 import org.cowslipmoor.core.range.RangeTable;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -36,13 +42,16 @@
 
   private static final long TIMEOUT_SECONDS = 10;
 
+  /** More than a host buffers before it sends a body. */
+  private static final int UPLOAD_BYTES = 90_000;
+
   /**
    * Rejects the first arrival of each id; on a later arrival on a connection that has rejected the
    * id, writes the rejection again before it runs the request.
    */
   private static final class CopyingScript implements ScriptedTarget.Script {
     private final String status;
-    private final Set<String> rejected = new HashSet<>();
+    private final Map<String, Integer> rejectingConnections = new HashMap<>();
     private final Map<String, Integer> runs = new HashMap<>();
 
     CopyingScript(String status) {
@@ -57,11 +66,12 @@
     @Override
     public synchronized String respond(String requestId, int connection, List<String> earlierIds) {
       String rejection = rejection(status, requestId);
-      if (rejected.add(requestId)) {
+      Integer rejecting = rejectingConnections.putIfAbsent(requestId, connection);
+      if (rejecting == null) {
         return rejection;
       }
       int run = runs.merge(requestId, 1, Integer::sum);
-      return (earlierIds.contains(requestId) ? rejection : "")
+      return (rejecting == connection ? rejection : "")
           + ScriptedTarget.response("200 OK", requestId, "run " + run);
     }
 
@@ -94,6 +104,130 @@
     assertThat(sendOnce(client, "r-1").contentUtf8(), is("run 1"));
   }
 
+  /** Guards against copies of statuses that promise "not run" without the target's own sign. */
+  @ParameterizedTest
+  @ValueSource(strings = {"503 Full", "429 Many", "408 Late"})
+  void repeatAfterRejectionWithoutSignEndsWithItsOwnResponse(String status) throws Exception {
+    String rejection = "HTTP/1.1 %s\r\ncontent-length: 0\r\nrequest-id: r-1\r\n\r\n";
+    ScriptedTarget t = target("t", new FixedScript(rejection.formatted(status), "", ""));
+    WebClient client = start(view("sheets", RangeTable.empty()));
+    assertThat(isPromise(sendOnce(client, "r-1")), is(true));
+
+    assertThat(sendOnce(client, "r-1").contentUtf8(), is("ran"));
+    assertThat(t.requests, hasSize(2));
+  }
+
+  /** Rejects the first request; writes copies of the rejection around each response. */
+  private static final class FixedScript implements ScriptedTarget.Script {
+    private final String rejection;
+    private final String afterRejection;
+    private final String afterResponse;
+    private boolean hasRejected;
+
+    FixedScript(String rejection, String afterRejection, String afterResponse) {
+      this.rejection = rejection;
+      this.afterRejection = afterRejection;
+      this.afterResponse = afterResponse;
+    }
+
+    @Override
+    public String respond(String requestId) {
+      throw new UnsupportedOperationException("the response depends on the connection");
+    }
+
+    @Override
+    public String beforeBody(String requestId, int connection, List<String> earlierIds) {
+      return earlierIds.isEmpty() ? "" : rejection;
+    }
+
+    @Override
+    public synchronized String respond(String requestId, int connection, List<String> earlierIds) {
+      if (!hasRejected) {
+        hasRejected = true;
+        return rejection + afterRejection;
+      }
+      String copy = earlierIds.isEmpty() ? "" : rejection;
+      return copy + ScriptedTarget.response("200 OK", requestId, "ran") + copy + afterResponse;
+    }
+  }
+
+  /** The copies arrive with the rejection, in pieces, and on the idle connection. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "%s",
+        "%s%s%s",
+        "\u0003%s",
+        "\u0003HTTP/1.1 503",
+        "\u0003H\u0003TTP/1.1 503 Full\r\n\r\n"
+      })
+  void repeatAfterCopiesOnItsConnectionEndsWithItsOwnResponse(String copies) throws Exception {
+    String rejection = rejection("503 Full", "r-1");
+    String formatted = copies.replace("%s", rejection);
+    target("t", new FixedScript(rejection, formatted, formatted));
+    WebClient client = start(view("sheets", RangeTable.empty()));
+    assertThat(isPromise(sendOnce(client, "r-1")), is(true));
+
+    for (int i = 0; i < CALLERS; i++) {
+      assertThat(sendOnce(client, "r-1").contentUtf8(), is("ran"));
+      assertThat(sendOnce(client, "r-2").contentUtf8(), is("ran"));
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"r-1", "r-2"})
+  void copyDuringUploadDoesNotEndIt(String id) throws Exception {
+    ScriptedTarget t = target("t", new FixedScript(rejection("503 Full", "r-1"), "", ""));
+    WebClient client = start(view("sheets", RangeTable.empty()));
+    assertThat(isPromise(sendOnce(client, "r-1")), is(true));
+
+    String body = "x".repeat(UPLOAD_BYTES);
+    AggregatedHttpResponse response =
+        send(client, HttpMethod.POST, "/upload/a", body, "request-id", id);
+
+    assertThat(response.contentUtf8(), is("ran"));
+    assertThat(t.requests.get(1), endsWith(body));
+  }
+
+  @Test
+  void requestsSentTwiceAtTheSameTimeEndWithTheirOwnResponses() throws Exception {
+    CyclicBarrier bothArrived = new CyclicBarrier(2);
+    CopyingScript script = new CopyingScript("503 Full");
+    target(
+        "t",
+        new ScriptedTarget.Script() {
+          @Override
+          public String respond(String requestId) {
+            throw new UnsupportedOperationException("the response depends on the connection");
+          }
+
+          @Override
+          public @Nullable String respond(
+              String requestId, int connection, List<String> earlierIds) {
+            try {
+              bothArrived.await(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            } catch (InterruptedException | BrokenBarrierException | TimeoutException e) {
+              return null;
+            }
+            return script.respond(requestId, connection, earlierIds);
+          }
+        });
+    WebClient client = start(view("sheets", RangeTable.empty()));
+
+    for (int i = 0; i < CALLERS; i++) {
+      String id = "r-" + i;
+      int served = 0;
+      for (int n = 0; n < 2; n++) {
+        CompletableFuture<AggregatedHttpResponse> other =
+            CompletableFuture.supplyAsync(() -> sendOnce(client, id));
+        served += isPromise(sendOnce(client, id)) ? 0 : 1;
+        served += isPromise(other.get(TIMEOUT_SECONDS, TimeUnit.SECONDS)) ? 0 : 1;
+      }
+      assertThat(served, is(3));
+      assertThat(script.runs(id), is(3));
+    }
+  }
+
   @Test
   void repeatOnOtherConnectionOfCallerEndsWithItsOwnResponse() throws Exception {
     CopyingScript script = new CopyingScript("503 Full");
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/LoopbackGateway.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/LoopbackGateway.java
@@ -51,6 +51,7 @@
   final ClientFactory clients = ClientFactory.builder().build();
 
   CompletableFuture<Void> storeResponse = CompletableFuture.completedFuture(null);
+  HeaderCodec codec = new PlainHeaderCodec();
   GatewayHost host;
   long graceMillis = 600;
   WebClient metrics;
@@ -170,7 +171,7 @@
             group.next(),
             new FixedStore(view, storeResponse),
             new NoCommands(),
-            new PlainHeaderCodec(),
+            codec,
             new SplittableRandom(1));
     metrics = client(ports[3]);
     return client(ports[0]);
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/ScriptedTarget.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/ScriptedTarget.java
@@ -80,7 +80,7 @@
     }
 
     /** Returns bytes that the target writes before it reads the body of the request. */
-    default String beforeBody(String requestId, List<String> earlierIds) {
+    default String beforeBody(String requestId, int connection, List<String> earlierIds) {
       return "";
     }
 
@@ -157,7 +157,9 @@
         }
         String response =
             script.isEarly() ? script.respond(requestId, connection, earlierIds) : null;
-        write(socket, response != null ? response : script.beforeBody(requestId, earlierIds));
+        write(
+            socket,
+            response != null ? response : script.beforeBody(requestId, connection, earlierIds));
         for (int i = 0; i < length; i++) {
           int next = in.read();
           if (next < 0) {
