Give scripts that depend on the connection a type of their own

Cause: checkstyle (OverloadMethodsDeclarationOrder) rejected the tests of copied rejections, whose scripts each override a method only to throw.

Change: ScriptedTarget.ConnectionScript throws there; the tests are the same.

--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/CopiedRejectionProperties.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/CopiedRejectionProperties.java
@@ -49,7 +49,7 @@
   }
 
   /** Rejects or runs requests at random, and writes copies of the connection's rejections. */
-  private static final class CopyingScript implements ScriptedTarget.Script {
+  private static final class CopyingScript implements ScriptedTarget.ConnectionScript {
     private final Map<Integer, List<String>> rejectedByConnection = new HashMap<>();
     private SplittableRandom random = new SplittableRandom(0);
     private int runs;
@@ -62,11 +62,6 @@
       return runs;
     }
 
-    @Override
-    public String respond(String requestId) {
-      throw new UnsupportedOperationException("the response depends on the connection");
-    }
-
     @Override
     public synchronized String beforeBody(
         String requestId, int connection, List<String> earlierIds) {
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/CopiedRejectionTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/CopiedRejectionTest.java
@@ -49,7 +49,7 @@
    * Rejects the first arrival of each id; on a later arrival on a connection that has rejected the
    * id, writes the rejection again before it runs the request.
    */
-  private static final class CopyingScript implements ScriptedTarget.Script {
+  private static final class CopyingScript implements ScriptedTarget.ConnectionScript {
     private final String status;
     private final Map<String, Integer> rejectingConnections = new HashMap<>();
     private final Map<String, Integer> runs = new HashMap<>();
@@ -58,11 +58,6 @@
       this.status = status;
     }
 
-    @Override
-    public String respond(String requestId) {
-      throw new UnsupportedOperationException("the response depends on the connection");
-    }
-
     @Override
     public synchronized String respond(String requestId, int connection, List<String> earlierIds) {
       String rejection = rejection(status, requestId);
@@ -118,7 +113,7 @@
   }
 
   /** Rejects the first request; writes copies of the rejection around each response. */
-  private static final class FixedScript implements ScriptedTarget.Script {
+  private static final class FixedScript implements ScriptedTarget.ConnectionScript {
     private final String rejection;
     private final String afterRejection;
     private final String afterResponse;
@@ -130,11 +125,6 @@
       this.afterResponse = afterResponse;
     }
 
-    @Override
-    public String respond(String requestId) {
-      throw new UnsupportedOperationException("the response depends on the connection");
-    }
-
     @Override
     public String beforeBody(String requestId, int connection, List<String> earlierIds) {
       return earlierIds.isEmpty() ? "" : rejection;
@@ -195,11 +185,7 @@
     CopyingScript script = new CopyingScript("503 Full");
     target(
         "t",
-        new ScriptedTarget.Script() {
-          @Override
-          public String respond(String requestId) {
-            throw new UnsupportedOperationException("the response depends on the connection");
-          }
+        new ScriptedTarget.ConnectionScript() {
 
           @Override
           public @Nullable String respond(
@@ -288,11 +274,7 @@
   @Test
   void retryOfServerErrorEndsWithItsOwnResponse() throws Exception {
     ScriptedTarget.Script script =
-        new ScriptedTarget.Script() {
-          @Override
-          public String respond(String requestId) {
-            throw new UnsupportedOperationException("the response depends on the connection");
-          }
+        new ScriptedTarget.ConnectionScript() {
 
           private final Set<String> failed = new HashSet<>();
 
@@ -326,11 +308,7 @@
     ScriptedTarget t =
         target(
             "t",
-            new ScriptedTarget.Script() {
-              @Override
-              public String respond(String requestId) {
-                throw new UnsupportedOperationException("the response depends on the connection");
-              }
+            new ScriptedTarget.ConnectionScript() {
 
               @Override
               public synchronized String respond(
@@ -364,15 +342,10 @@
   }
 
   /** Runs the second arrival of an id, but writes the true response only after the next request. */
-  private static final class DelayingScript implements ScriptedTarget.Script {
+  private static final class DelayingScript implements ScriptedTarget.ConnectionScript {
     private final Map<String, Integer> arrivals = new HashMap<>();
     private String delayed = "";
 
-    @Override
-    public String respond(String requestId) {
-      throw new UnsupportedOperationException("the response depends on the connection");
-    }
-
     @Override
     public synchronized String respond(String requestId, int connection, List<String> earlierIds) {
       int arrival = arrivals.merge(requestId, 1, Integer::sum);
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/ScriptedTarget.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/ScriptedTarget.java
@@ -90,6 +90,17 @@
     }
   }
 
+  /** Generates the responses by what their connection has carried. */
+  interface ConnectionScript extends Script {
+    @Override
+    default String respond(String requestId) {
+      throw new UnsupportedOperationException("the response depends on the connection");
+    }
+
+    @Override
+    @Nullable String respond(String requestId, int connection, List<String> earlierIds);
+  }
+
   ScriptedTarget(String id, Script script) throws IOException {
     this.id = id;
     this.script = script;
