Keep connections of the pool tests longer than their steps take

Cause: the pool of HttpConnectionsTest kept idle connections for 1 s, so that a pause of the machine between two steps would have opened a new one.

Change: it keeps them for the time limit of the tests; the assertions stay.

--- a/daemon/src/test/java/org/cowslipmoor/daemon/http/HttpConnectionsTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/http/HttpConnectionsTest.java
@@ -42,7 +42,7 @@
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = group.next();
   private final HttpConnections connections =
-      new HttpConnections(loop, Duration.ofSeconds(1), Duration.ofSeconds(1));
+      new HttpConnections(loop, Duration.ofSeconds(1), Duration.ofSeconds(TIMEOUT_SECONDS));
 
   @AfterEach
   void close() {
