--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Attempt.java
@@ -24,6 +24,7 @@
 /** One attempt to send a request to a target. Confined to the event loop. */
 final class Attempt implements ExchangeListener {
   private static final long NANOS_PER_MILLI = 1_000_000L;
+  private static final int MIN_ERROR_STATUS = 400;
   private static final int MIN_SERVER_ERROR_STATUS = 500;
 
   /** Timeout of an attempt that can be retried, as a multiple of its expected time. */
@@ -47,7 +48,7 @@
   private final Gateway gateway;
   private final DiscoveredTarget target;
   private final long expectedNanos;
-  private final boolean isRepeated;
+  private final int number;
   private final long startedAt = System.nanoTime();
   private @Nullable Exchange targetExchange;
   private @Nullable ResponseRelay relay;
@@ -67,31 +68,27 @@
   /**
    * Creates an attempt that has not started.
    *
-   * @param isRepeated whether the request has already been sent to this target
+   * @param number number of the attempt, from 1
    */
   Attempt(
       GatewayExchange callerExchange,
       Gateway gateway,
       DiscoveredTarget target,
       long expectedNanos,
-      boolean isRepeated) {
+      int number) {
     this.callerExchange = callerExchange;
     this.gateway = gateway;
     this.target = target;
     this.expectedNanos = expectedNanos;
-    this.isRepeated = isRepeated;
+    this.number = number;
   }
 
   void start() {
     gateway.loadBalancer().onSend(target, startedAt);
-    // A reused connection may deliver a duplicate of the response to the earlier attempt, which has
-    // the same id.
     Exchange e =
-        isRepeated
-            ? gateway
-                .connections()
-                .startOnNewConnection(target.address(), createTargetRequest(), this)
-            : gateway.connections().start(target.address(), createTargetRequest(), this);
+        gateway
+            .connections()
+            .start(target.address(), createTargetRequest(), this, callerExchange.requestId());
     targetExchange = e;
     if (ended) {
       return;
@@ -164,14 +161,34 @@
         id == null
             ? h.isNotRun() && !targetExchange().isOnReusedConnection()
             : id.equals(callerExchange.requestId());
-    if (!belongsToRequest || ended) {
+    if (ended) {
       return false;
     }
     headReceivedAt = System.nanoTime();
+    if (!belongsToRequest) {
+      gateway.count(GatewayMetric.SURPLUS_ANSWERS);
+      gateway
+          .log()
+          .onSurplusResponse(
+              callerExchange.requestId(),
+              target,
+              head.status().code(),
+              id,
+              targetExchange(),
+              headReceivedAt);
+      return false;
+    }
     responseHead = h;
     notRun = h.isNotRun();
     misdirected = h.isMisdirected();
     stopTimer();
+    if (notRun) {
+      logRejection(head.status().code());
+    }
+    if (notRun || head.status().code() >= MIN_ERROR_STATUS) {
+      // The target may send a duplicate of the response while the same id is in use again.
+      targetExchange().retireId();
+    }
     boolean isServerError = head.status().code() >= MIN_SERVER_ERROR_STATUS;
     if (notRun) {
       outcome = "turned away with " + head.status().code();
@@ -250,8 +267,7 @@
         (System.nanoTime() - startedAt) / NANOS_PER_MILLI);
     gateway.loadBalancer().onFailure(target, System.nanoTime());
     if (relay != null) {
-      relay.abort(new IllegalStateException("the target aborted its response"));
-      callerExchange.onResponseAborted();
+      callerExchange.onResponseAborted("the target aborted its response");
       return;
     }
     if (!discarding) {
@@ -260,6 +276,15 @@
     callerExchange.onAttemptFailed(this);
   }
 
+  private void logRejection(int status) {
+    Exchange e = targetExchange();
+    gateway.count(GatewayMetric.TARGET_REJECTIONS);
+    gateway
+        .log()
+        .onRejection(
+            callerExchange.requestId(), target, status, number, e, e.isIdRetired(), headReceivedAt);
+  }
+
   private void startDiscarding() {
     discarding = true;
     timer = schedule(this::stopDiscarding, MAX_DISCARD_NANOS);
