Report targets that state their leaving in responses to commands

What would be seen: a target that leaves, and whose entry in the store still says that it is ready, keeps its keys: the coordinator grants them again and reads nothing of the header Server-Leaving in the responses, although it talks to that target several times a second.

Cause: the header was read on no path.

Nothing sets the listener yet.

--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/TargetCommands.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/TargetCommands.java
@@ -2,6 +2,8 @@
 
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.cowslipmoor.core.discovery.TargetIncarnation;
 import org.cowslipmoor.core.range.GrantOutcome;
 import org.cowslipmoor.core.range.RangeEntry;
 import org.jspecify.annotations.Nullable;
@@ -28,6 +30,13 @@
    */
   CompletableFuture<ReleaseResult> release(RangeEntry entry, BooleanSupplier isAllowed);
 
+  /**
+   * Sets a listener that receives each target whose response to a command states that it is
+   * leaving. Called on the thread that completes the futures, before the command's future completes
+   * for its caller.
+   */
+  default void onLeaving(Consumer<TargetIncarnation> listener) {}
+
   /**
    * The outcome of a release.
    *
