Log and count statements of leaving in responses

What callers saw: requests still reached targets long after these had stated that they are leaving. The logs could not tell whether a response bore that statement, what the store said of the target then, nor which requests followed.

Change: ResponseHead.isLeaving, read by the codecs; a bounded line and a counter for the first statement of each incarnation, and for requests sent after it with the statement's age.

Result: PlatformHeaderCodecTest, GatewayTest and DuplicateRejectionTest pass.

--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Attempt.java
@@ -152,6 +152,9 @@
     // The channel shows that the caller has closed its connection before Armeria notifies the
     // request of it.
     sent = !callerExchange.endIfCallerDisconnected();
+    if (sent) {
+      gateway.onSending(target, callerExchange.requestId(), System.nanoTime());
+    }
     return sent;
   }
 
@@ -169,6 +172,9 @@
     }
     headReceivedAt = System.nanoTime();
     responseHead = h;
+    if (h.isLeaving()) {
+      gateway.onLeavingResponse(target, callerExchange.requestId(), headReceivedAt);
+    }
     notRun = h.isNotRun();
     misdirected = h.isMisdirected();
     stopTimer();
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
@@ -8,15 +8,19 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.cowslipmoor.core.admission.TargetLoadBalancer;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.discovery.DrainDeadlines;
+import org.cowslipmoor.core.discovery.LeavingTargets;
 import org.cowslipmoor.core.discovery.TargetDirectory;
+import org.cowslipmoor.core.discovery.TargetIncarnation;
 import org.cowslipmoor.core.fleet.FleetSize;
 import org.cowslipmoor.core.fleet.FleetState;
+import org.cowslipmoor.core.limit.LogLimit;
 import org.cowslipmoor.core.limit.MemoryBudget;
 import org.cowslipmoor.core.range.KeyCounts;
 import org.cowslipmoor.core.range.RangeEntry;
@@ -40,6 +44,11 @@
   /** Memory that the bodies of requests may occupy together. */
   private static final long MAX_BODY_MEMORY_BYTES = 24 << 20;
 
+  /** Maximum number of log lines about targets that are leaving, in {@link #LOG_PERIOD_NANOS}. */
+  private static final int MAX_LEAVING_LINES = 40;
+
+  private static final long LOG_PERIOD_NANOS = 1_000_000_000L;
+
   private final Supplier<StoreView> view;
   private final HttpConnections connections;
   private final HeaderCodec headerCodec;
@@ -52,6 +61,9 @@
   private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
   private final RetryCounts retryCounts = new RetryCounts(System.nanoTime());
   private final DrainDeadlines drainDeadlines = DrainDeadlines.create(System.nanoTime());
+  private final LeavingTargets leaving = LeavingTargets.create();
+  private final LogLimit leavingLog =
+      LogLimit.create(MAX_LEAVING_LINES, LOG_PERIOD_NANOS, System.nanoTime());
   private final CallerConnections callers = new CallerConnections();
   private final MemoryBudget bodyMemory = MemoryBudget.create(MAX_BODY_MEMORY_BYTES);
   private SharedRetryBudget.Limits retryLimits;
@@ -100,6 +112,7 @@
     loadBalancer.retain(all.keySet());
     fleetSize.onCount(newView.members().size(), now);
     updateConnectionLimits(now);
+    leaving.onTargets(all.values(), now);
     drainDeadlines.onTargets(all.values());
   }
 
@@ -217,6 +230,54 @@
         .filter(t -> drainDeadlines.isUsable(t, now));
   }
 
+  /** Records that a response states that its target is leaving. */
+  void onLeavingResponse(DiscoveredTarget target, String requestId, long now) {
+    if (!leaving.onLeaving(target.incarnation(), now)) {
+      return;
+    }
+    count(GatewayMetric.LEAVING);
+    if (leavingLog.tryAcquire(now)) {
+      Logger.info(
+          "event=leaving target={} life={} request={} store_state={} dropped_lines={}",
+          target.id(),
+          target.incarnation().startedAt(),
+          requestId,
+          storeState(target.incarnation()),
+          leavingLog.drainSuppressed());
+    }
+  }
+
+  /** Records that a request is about to be written to a connection. */
+  void onSending(DiscoveredTarget target, String requestId, long now) {
+    OptionalLong learntAt = leaving.learntAt(target.incarnation());
+    if (learntAt.isEmpty()) {
+      return;
+    }
+    long age = now - learntAt.getAsLong();
+    count(GatewayMetric.SENT_TO_LEAVING);
+    metrics.timer(GatewayMetric.SENT_TO_LEAVING_SECONDS.name()).update(age, TimeUnit.NANOSECONDS);
+    if (leavingLog.tryAcquire(now)) {
+      Logger.info(
+          "event=sent_to_leaving target={} life={} request={} store_state={} age_ms={}"
+              + " dropped_lines={}",
+          target.id(),
+          target.incarnation().startedAt(),
+          requestId,
+          storeState(target.incarnation()),
+          TimeUnit.NANOSECONDS.toMillis(age),
+          leavingLog.drainSuppressed());
+    }
+  }
+
+  /** Returns what the store says of a target, for the log. */
+  private String storeState(TargetIncarnation target) {
+    return view.get()
+        .directory()
+        .find(target)
+        .map(t -> t.draining() ? "draining" : "ready")
+        .orElse("absent");
+  }
+
   private long configurationVersion() {
     RoutingConfiguration c = view.get().configuration();
     return c == null ? 0 : c.version();
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayMetric.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayMetric.java
@@ -8,6 +8,11 @@
   RETRIES("cowslipmoor_retries_total", "Requests sent once more."),
   REFUSALS("cowslipmoor_refusals_total", "Requests refused, by result code."),
   CALLERS_GONE("cowslipmoor_callers_gone_total", "Callers that left before their answer."),
+  LEAVING("cowslipmoor_leaving_total", "Targets that stated that they are leaving."),
+  SENT_TO_LEAVING(
+      "cowslipmoor_sent_to_leaving_total", "Requests sent to targets after that statement."),
+  SENT_TO_LEAVING_SECONDS(
+      "cowslipmoor_sent_to_leaving_seconds", "Time from that statement to such a request."),
   ANSWER_SECONDS("cowslipmoor_answer_seconds", "Time from a request to its answer's end."),
   IN_PROGRESS("cowslipmoor_requests_in_progress", "Requests in progress."),
   CONFIGURATION("cowslipmoor_configuration_version", "Version of the configuration in force."),
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/MetricsPage.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/MetricsPage.java
@@ -31,7 +31,7 @@
   }
 
   private static String type(GatewayMetric m) {
-    if (m == GatewayMetric.ANSWER_SECONDS) {
+    if (m == GatewayMetric.ANSWER_SECONDS || m == GatewayMetric.SENT_TO_LEAVING_SECONDS) {
       return "summary";
     }
     return m.exposedName().endsWith("_total") ? "counter" : "gauge";
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/PlainHeaderCodec.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/PlainHeaderCodec.java
@@ -26,6 +26,7 @@
   public ResponseHead readResponse(HttpResponse head) {
     boolean misdirected = head.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
     boolean notRun = misdirected || head.headers().contains("not-run");
-    return new ResponseHead(head.headers().get("request-id"), notRun, misdirected, null);
+    boolean leaving = head.headers().contains("leaving");
+    return new ResponseHead(head.headers().get("request-id"), notRun, misdirected, leaving, null);
   }
 }
