Reproduce requests to targets that have stated that they leave

What callers saw: requests kept reaching a target long after it had stated in its responses that it is leaving.

--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/StoreView.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/StoreView.java
@@ -46,6 +46,20 @@
     return memberList.members();
   }
 
+  /** Returns this view with other targets. */
+  public StoreView withDirectory(TargetDirectory newDirectory) {
+    return new StoreView(
+        configuration,
+        newDirectory,
+        table,
+        tableRevision,
+        memberList,
+        membersRevision,
+        coordinator,
+        isLoaded,
+        revision);
+  }
+
   /** Returns the view of a host that has not read the store. */
   public static StoreView unknown() {
     return new StoreView(
