Count a target's deadline from when it was last known to be ready

A target that announced in the store that it drains, and whose entry then went missing and came back while the store was unavailable, could be used for longer than drain_ms after the announcement.

A missing entry doesn't say that the target is not draining.

Change: for each incarnation the host keeps when it last knew it as ready, also while the entry is missing. An incarnation that it only knows as draining isn't used.

--- a/core/src/main/java/org/cowslipmoor/core/discovery/DrainDeadlines.java
+++ b/core/src/main/java/org/cowslipmoor/core/discovery/DrainDeadlines.java
@@ -27,6 +27,7 @@
   /** What the store says of a target that is or was registered. */
   private static final class Registration {
     boolean isDraining;
+    boolean isRegistered;
     long lastRegisteredAt;
 
     /** When the host last knew that the target was not draining; empty if it never did. */
@@ -66,12 +67,16 @@
    * be missing while the store is unavailable.
    */
   public void onTargets(Collection<DiscoveredTarget> registered, long now) {
-    for (DiscoveredTarget t : registered) {
-      Registration r = registrations.computeIfAbsent(t.incarnation(), unused -> new Registration());
-      if (t.draining() && !r.isDraining) {
+    for (Registration r : registrations.values()) {
+      if (r.isRegistered && !r.isDraining) {
         r.readyAt = confirmedAt;
       }
+      r.isRegistered = false;
+    }
+    for (DiscoveredTarget t : registered) {
+      Registration r = registrations.computeIfAbsent(t.incarnation(), unused -> new Registration());
       r.isDraining = t.draining();
+      r.isRegistered = true;
       r.lastRegisteredAt = now;
     }
     registrations
--- a/core/src/test/java/org/cowslipmoor/core/discovery/DrainDeadlinesTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/discovery/DrainDeadlinesTest.java
@@ -44,6 +44,18 @@
     assertThat(d.isUsable(target(true), LIMIT_NANOS), is(true));
   }
 
+  /** Guards against a deadline that counts from when the entry was missing. */
+  @Test
+  void announcementMayPrecedeTheLossOfTheEntry() {
+    DrainDeadlines d = DrainDeadlines.create(LeavingTargets.create(), LIMIT_NANOS);
+    d.onTargets(List.of(target(false)), 0);
+    d.onConfirmed(0);
+    d.onTargets(List.of(), LIMIT_NANOS);
+    d.onConfirmed(LIMIT_NANOS);
+    d.onTargets(List.of(target(true)), LIMIT_NANOS);
+    assertThat(d.isUsable(target(true), LIMIT_NANOS), is(false));
+  }
+
   /**
    * Guards against spans that are each within the limit and whose sum isn't: the age of the host's
    * state when it learns of the announcement, and the time for which it uses the target then.
