--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/LoopbackGateway.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/LoopbackGateway.java
@@ -52,6 +52,7 @@
 
   CompletableFuture<Void> storeResponse = CompletableFuture.completedFuture(null);
   GatewayHost host;
+  HeaderCodec headerCodec = new PlainHeaderCodec();
   long graceMillis = 600;
   WebClient metrics;
   ImmutableSet<String> members = ImmutableSet.of("host-1");
@@ -171,7 +172,7 @@
             group.next(),
             new FixedStore(view, storeResponse),
             new NoCommands(),
-            new PlainHeaderCodec(),
+            headerCodec,
             new SplittableRandom(1));
     metrics = client(ports[3]);
     return client(ports[0]);
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/StatementOfLeavingIgnoredTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/StatementOfLeavingIgnoredTest.java
@@ -7,8 +7,12 @@
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.RequestHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.discovery.TargetDirectory;
 import org.cowslipmoor.core.range.KeyRange;
@@ -120,6 +124,49 @@
     assertServesUntilDeadline(client, t, "/keyed/a");
   }
 
+  /** Guards against a request that is written although the target's time passed meanwhile. */
+  @Test
+  void requestThatIsNotWrittenInTimeIsRejectedAsNotRun() throws Exception {
+    AtomicLong writeAt = new AtomicLong(System.nanoTime());
+    headerCodec = new SlowHeaderCodec(writeAt);
+    ScriptedTarget t = target("t", StatementOfLeavingIgnoredTest::leaving);
+    WebClient client = start(view("sheets", RangeTable.empty()));
+    send(client, HttpMethod.POST, "/once/a", "body");
+
+    writeAt.set(System.nanoTime() + DRAIN_NANOS);
+    AggregatedHttpResponse late = send(client, HttpMethod.POST, "/once/a", "body");
+
+    assertThat(late.status().code(), is(503));
+    assertThat(late.headers().get("cowslipmoor-effect"), is("not run"));
+    assertThat(t.requests.size(), is(1));
+  }
+
+  /** Delays requests between the choice of their targets and the writing. */
+  private record SlowHeaderCodec(HeaderCodec delegate, AtomicLong writeAt) implements HeaderCodec {
+    SlowHeaderCodec(AtomicLong writeAt) {
+      this(new PlainHeaderCodec(), writeAt);
+    }
+
+    @Override
+    public RequestHead readRequest(RequestHeaders headers) {
+      return delegate.readRequest(headers);
+    }
+
+    @Override
+    public void writeRequest(
+        HttpHeaders headers, String requestId, long deadlineMillis, String targetId) {
+      while (System.nanoTime() - writeAt.get() < 0) {
+        Thread.onSpinWait();
+      }
+      delegate.writeRequest(headers, requestId, deadlineMillis, targetId);
+    }
+
+    @Override
+    public ResponseHead readResponse(HttpResponse head) {
+      return delegate.readResponse(head);
+    }
+  }
+
   private void assertServesUntilDeadline(WebClient client, ScriptedTarget t, String path) {
     AggregatedHttpResponse first = send(client, HttpMethod.GET, path, "", "key", "7");
     final long learntBy = System.nanoTime();
