--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Attempt.java
@@ -148,8 +148,20 @@
   public boolean onSending() {
     // The channel shows that the caller has closed its connection before Armeria notifies the
     // request of it.
-    sent = !callerExchange.endIfCallerDisconnected();
-    return sent;
+    if (callerExchange.endIfCallerDisconnected()) {
+      return false;
+    }
+    long now = System.nanoTime();
+    if (!gateway.mayReceive(target, now)) {
+      ended = true;
+      stopTimer();
+      gateway.loadBalancer().onCancelled(target);
+      callerExchange.onTargetLeft(target);
+      return false;
+    }
+    sent = true;
+    gateway.onSending(target, callerExchange.requestId(), now);
+    return true;
   }
 
   @Override
@@ -179,6 +191,9 @@
       return false;
     }
     responseHead = h;
+    if (h.isLeaving()) {
+      gateway.onLeavingResponse(target, callerExchange.requestId(), headReceivedAt);
+    }
     notRun = h.isNotRun();
     misdirected = h.isMisdirected();
     stopTimer();
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/CopiedRejectionProperties.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/CopiedRejectionProperties.java
@@ -181,7 +181,7 @@
 
   @Example
   void hostThatForgetsRejectedIdsIsFound() throws Exception {
-    codec = new ForgetfulCodec();
+    headerCodec = new ForgetfulCodec();
     WebClient client = startOnce();
 
     String found = "";
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/LoopbackGateway.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/LoopbackGateway.java
@@ -51,8 +51,8 @@
   final ClientFactory clients = ClientFactory.builder().build();
 
   CompletableFuture<Void> storeResponse = CompletableFuture.completedFuture(null);
-  HeaderCodec codec = new PlainHeaderCodec();
   GatewayHost host;
+  HeaderCodec headerCodec = new PlainHeaderCodec();
   long graceMillis = 600;
   WebClient metrics;
   ImmutableSet<String> members = ImmutableSet.of("host-1");
@@ -154,6 +154,7 @@
         1_500,
         10_000,
         2_000,
+        2_000,
         graceMillis,
         0.2,
         100,
@@ -171,7 +172,7 @@
             group.next(),
             new FixedStore(view, storeResponse),
             new NoCommands(),
-            codec,
+            headerCodec,
             new SplittableRandom(1));
     metrics = client(ports[3]);
     return client(ports[0]);
