Show that keys lose their owner while all targets drain

Callers would get 503 for every key of a service whose targets all drain, although the owners still serve: the coordinator asks an owner to release its keys as soon as it drains, without regard to whether a target can take them.

--- a/core/src/test/java/org/cowslipmoor/core/range/RangeCoordinatorTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/RangeCoordinatorTest.java
@@ -33,6 +33,8 @@
   private static final DiscoveredTarget OWNER = target("t0");
   private static final DiscoveredTarget DRAINING = target("t0", true);
   private static final DiscoveredTarget OTHER = target("t1");
+  private static final DiscoveredTarget DRAINING_OTHER = target("t1", true);
+  private static final DiscoveredTarget THIRD = target("t2");
 
   /** Maximum time until the keys of a lost owner are served again. */
   private static final long MAX_UNSERVED_NANOS = 4_000 * NANOS_PER_MILLI;
@@ -295,6 +297,80 @@
     throw new AssertionError("the keys of the lost owner were never granted to the other target");
   }
 
+  /** An owner that is asked to release its keys while no target can take them serves no longer. */
+  @Tag("known-red")
+  @Test
+  void keysStayWithTheirOwnerWhileAllTargetsDrain() {
+    long drainAt = 5_000 * NANOS_PER_MILLI;
+    long replacedAt = 20_000 * NANOS_PER_MILLI;
+    long releasedAt = -1;
+    long acceptedAt = 0;
+    long grantedOnAt = -1;
+    RangeCoordinator coordinator = begin(stored(), RangeListener.NONE, 0);
+    for (long now = 0; grantedOnAt < 0 && now < 2 * replacedAt; now += TICK_NANOS) {
+      TargetDirectory directory =
+          now < drainAt
+              ? directory(OWNER, DRAINING_OTHER)
+              : now < replacedAt
+                  ? directory(DRAINING, DRAINING_OTHER)
+                  : directory(DRAINING, DRAINING_OTHER, THIRD);
+      for (RangeAction action : coordinator.tick(now, inputs(directory))) {
+        switch (action) {
+          case RangeAction.Write a -> coordinator.onWritten(a.table());
+          case RangeAction.Release a -> {
+            releasedAt = releasedAt < 0 ? now : releasedAt;
+            coordinator.onRelease(now, a.entry(), true, "h");
+          }
+          case RangeAction.Grant a -> {
+            if (a.entry().owner().equals(OWNER.incarnation())) {
+              acceptedAt = now;
+              coordinator.onGrant(now, a.entry(), GrantOutcome.ACCEPTED);
+            } else {
+              grantedOnAt = now;
+            }
+          }
+        }
+      }
+    }
+
+    assertThat(releasedAt, greaterThanOrEqualTo(replacedAt));
+    assertThat(acceptedAt, greaterThanOrEqualTo(replacedAt - timing.renewalIntervalNanos()));
+    assertThat(grantedOnAt, lessThan(replacedAt + MAX_UNSERVED_NANOS));
+  }
+
+  /** The target that was to take over the keys may start to drain while they are released. */
+  @Tag("known-red")
+  @Test
+  void releasedKeysReturnToTheirOwnerWhenNoOtherTargetIsLeft() {
+    long drainAt = 5_000 * NANOS_PER_MILLI;
+    AtomicBoolean released = new AtomicBoolean();
+    long acceptedAt = -1;
+    RangeCoordinator coordinator = begin(stored(), RangeListener.NONE, 0);
+    for (long now = 0; now < 2 * drainAt; now += TICK_NANOS) {
+      TargetDirectory directory =
+          now < drainAt
+              ? directory(OWNER)
+              : directory(DRAINING, released.get() ? DRAINING_OTHER : OTHER);
+      for (RangeAction action : coordinator.tick(now, inputs(directory))) {
+        switch (action) {
+          case RangeAction.Write a -> coordinator.onWritten(a.table());
+          case RangeAction.Release a -> {
+            released.set(true);
+            coordinator.onRelease(now, a.entry(), true, "h");
+          }
+          case RangeAction.Grant a -> {
+            assertThat(a.entry().owner(), is(OWNER.incarnation()));
+            acceptedAt = released.get() ? now : acceptedAt;
+            coordinator.onGrant(now, a.entry(), GrantOutcome.ACCEPTED);
+          }
+        }
+      }
+    }
+
+    assertThat(released.get(), is(true));
+    assertThat(acceptedAt, greaterThanOrEqualTo(2 * drainAt - timing.holdNanos()));
+  }
+
   private static RangeTable stored() {
     RangeEntry held =
         new RangeEntry(SERVICE, KeyRange.ALL, OWNER.incarnation(), OWNER.address(), 7, null);
