Exchange leaving targets in reports and in the fleet's state

What callers saw: a target that stated in its responses that it leaves kept its keys until its entry in the store said so, which it may never do; only the host that had passed on such a response could have known.

Cause: the statement reaches one host on its data path, while the coordinator and the other hosts look only at the store.

Change: a host's report lists the registered targets that it knows to be leaving until a state of the coordinator's term has listed them; the state lists registered incarnations for 5 s after their latest report. There are no messages of their own. No message takes anything back: an absent target says nothing. A new coordinator is told again, since it may not have received what its predecessor listed. The coordinator hands what hosts report to the same register that its own responses fill, so that its decisions have one source.

--- a/core/src/main/java/org/cowslipmoor/core/fleet/FleetAggregator.java
+++ b/core/src/main/java/org/cowslipmoor/core/fleet/FleetAggregator.java
@@ -3,10 +3,13 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
+import org.cowslipmoor.core.discovery.TargetIncarnation;
 import org.cowslipmoor.core.range.KeyLoadMeter;
 import org.cowslipmoor.core.range.ServiceLoad;
 
@@ -21,6 +24,13 @@
   /** Age at which a host's report expires. */
   private static final long REPORT_TIMEOUT_NANOS = 1_500_000_000L;
 
+  /**
+   * Time since the latest report of a leaving target for which the fleet's state lists it. Hosts
+   * report it until a state has listed it, so that the state also lists it for hosts that join or
+   * reconnect meanwhile.
+   */
+  static final long LEAVING_ANNOUNCEMENT_NANOS = 5_000_000_000L;
+
   /** Half-life of the weight of a target's past responses. */
   private static final long HALF_LIFE_NANOS = 3_000_000_000L;
 
@@ -34,6 +44,11 @@
   private final Map<String, ReceivedReport> reports = new HashMap<>();
   private final Map<String, ServiceTime> serviceTimes = new HashMap<>();
 
+  /** Time of the latest report of each leaving target. */
+  private final Map<TargetIncarnation, Long> leavingReportedAt = new HashMap<>();
+
+  private ImmutableSet<TargetIncarnation> registered = ImmutableSet.of();
+
   private record ReceivedReport(HostReport report, long receivedAt) {}
 
   private FleetAggregator(long now) {
@@ -45,8 +60,11 @@
     return new FleetAggregator(now);
   }
 
-  /** Records a host's report, which replaces its previous one. */
-  public void onReport(String host, HostReport report, long now) {
+  /**
+   * Records a host's report. It replaces the previous one, except that targets reported as leaving
+   * remain so. Returns those of them that no host has recently reported.
+   */
+  public ImmutableSet<TargetIncarnation> onReport(String host, HostReport report, long now) {
     reports.put(host, new ReceivedReport(report, now));
     report
         .keyLoads()
@@ -60,11 +78,22 @@
                 serviceTimes
                     .computeIfAbsent(target, unused -> new ServiceTime(now))
                     .add(s.responses(), s.serviceNanos(), now));
+    return report.leaving().stream()
+        .filter(
+            target -> {
+              Long before = leavingReportedAt.put(target, now);
+              return before == null || now - before >= LEAVING_ANNOUNCEMENT_NANOS;
+            })
+        .collect(ImmutableSet.toImmutableSet());
   }
 
-  /** Drops the measurements of all targets except the given ones. */
-  public void retain(ImmutableSet<String> targets) {
-    serviceTimes.keySet().retainAll(targets);
+  /** Records the registered targets, and drops the measurements of all others. */
+  public void onTargets(Collection<DiscoveredTarget> targets) {
+    registered =
+        targets.stream().map(DiscoveredTarget::incarnation).collect(ImmutableSet.toImmutableSet());
+    serviceTimes
+        .keySet()
+        .retainAll(targets.stream().map(DiscoveredTarget::id).collect(Collectors.toSet()));
   }
 
   /** Returns the hosts whose reports have not expired, with the store revision of each. */
@@ -100,7 +129,10 @@
         tableVersion,
         moving,
         candidates,
-        relaysStore);
+        relaysStore,
+        leavingReportedAt.keySet().stream()
+            .filter(registered::contains)
+            .collect(ImmutableSet.toImmutableSet()));
   }
 
   /**
@@ -133,6 +165,7 @@
 
   private void expire(long now) {
     reports.values().removeIf(r -> now - r.receivedAt() > REPORT_TIMEOUT_NANOS);
+    leavingReportedAt.values().removeIf(at -> now - at >= LEAVING_ANNOUNCEMENT_NANOS);
   }
 
   /** A target's number of responses and their total service time, both decaying exponentially. */
--- a/core/src/main/java/org/cowslipmoor/core/fleet/FleetState.java
+++ b/core/src/main/java/org/cowslipmoor/core/fleet/FleetState.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import org.cowslipmoor.core.discovery.TargetIncarnation;
 import org.cowslipmoor.core.range.KeyRange;
 
 /**
@@ -14,6 +15,8 @@
  * @param moving key ranges that are being revoked from their owners
  * @param candidates hosts that ask to join
  * @param relaysStore whether the coordinator relays store updates to the hosts
+ * @param leaving registered targets that hosts have recently reported as leaving; says nothing
+ *     about other targets
  */
 public record FleetState(
     int hosts,
@@ -21,11 +24,13 @@
     long tableVersion,
     ImmutableList<MovingRange> moving,
     ImmutableSet<String> candidates,
-    boolean relaysStore) {
+    boolean relaysStore,
+    ImmutableSet<TargetIncarnation> leaving) {
 
   /** The state before the first one is received. */
   public static final FleetState UNKNOWN =
-      new FleetState(1, ImmutableMap.of(), 0, ImmutableList.of(), ImmutableSet.of(), false);
+      new FleetState(
+          1, ImmutableMap.of(), 0, ImmutableList.of(), ImmutableSet.of(), false, ImmutableSet.of());
 
   /**
    * The state of one target, over all hosts.
@@ -43,9 +48,10 @@
    */
   public record MovingRange(String service, KeyRange range) {}
 
-  /** Returns this state without the state of targets. */
+  /** Returns this state without the state of targets, including which of them are leaving. */
   public FleetState withoutTargets() {
-    return new FleetState(hosts, ImmutableMap.of(), tableVersion, moving, candidates, relaysStore);
+    return new FleetState(
+        hosts, ImmutableMap.of(), tableVersion, moving, candidates, relaysStore, ImmutableSet.of());
   }
 
   /** Returns whether a key is being revoked from its owner. */
--- a/core/src/main/java/org/cowslipmoor/core/fleet/HostReport.java
+++ b/core/src/main/java/org/cowslipmoor/core/fleet/HostReport.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import org.cowslipmoor.core.discovery.TargetIncarnation;
 
 /**
  * The load that one host has measured since its last report, and its view of the store.
@@ -10,6 +11,7 @@
  * @param targets measurements of each target, by id
  * @param storeRevision the newest store revision that the host has
  * @param approvals joining hosts that the host approves
+ * @param leaving targets that the host knows to be leaving; says nothing about other targets
  * @param sentAt the host's steady clock when it sent the report, in nanoseconds
  */
 public record HostReport(
@@ -17,6 +19,7 @@
     ImmutableMap<String, TargetSample> targets,
     long storeRevision,
     ImmutableSet<String> approvals,
+    ImmutableSet<TargetIncarnation> leaving,
     long sentAt) {
 
   /**
@@ -27,4 +30,9 @@
    * @param serviceNanos total service time of those responses, in nanoseconds
    */
   public record TargetSample(int inFlight, int responses, long serviceNanos) {}
+
+  /** Returns this report with other leaving targets. */
+  public HostReport withLeaving(ImmutableSet<TargetIncarnation> newLeaving) {
+    return new HostReport(keyLoads, targets, storeRevision, approvals, newLeaving, sentAt);
+  }
 }
--- a/core/src/test/java/org/cowslipmoor/core/admission/TargetLoadBalancerTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/admission/TargetLoadBalancerTest.java
@@ -46,7 +46,8 @@
             0,
             ImmutableList.of(),
             ImmutableSet.of(),
-            true),
+            true,
+            ImmutableSet.of()),
         NOW);
   }
 
@@ -147,7 +148,14 @@
       loads.put("t" + i, new FleetState.TargetState(i % 10 == 0 ? 0 : 2, 50 * NANOS_PER_MILLI));
     }
     FleetState state =
-        new FleetState(hosts, loads.buildOrThrow(), 0, ImmutableList.of(), ImmutableSet.of(), true);
+        new FleetState(
+            hosts,
+            loads.buildOrThrow(),
+            0,
+            ImmutableList.of(),
+            ImmutableSet.of(),
+            true,
+            ImmutableSet.of());
     Map<String, Integer> received = new HashMap<>();
     int unassigned = 0;
     for (int h = 0; h < hosts; h++) {
@@ -174,7 +182,8 @@
             0,
             ImmutableList.of(),
             ImmutableSet.of(),
-            true),
+            true,
+            ImmutableSet.of()),
         NOW);
     List<DiscoveredTarget> both = List.of(target("a", "cairo"), target("b", "cairo"));
     balancer.onSend(target("a", "cairo"), NOW);
--- a/daemon/src/main/java/org/cowslipmoor/daemon/codec/FleetCodec.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/codec/FleetCodec.java
@@ -5,11 +5,14 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.cowslipmoor.core.discovery.TargetIncarnation;
 import org.cowslipmoor.core.fleet.FleetState;
 import org.cowslipmoor.core.fleet.HostReport;
 import org.cowslipmoor.core.range.KeyRange;
 import org.cowslipmoor.schema.fleet.KeyLoad;
+import org.cowslipmoor.schema.fleet.LeavingTarget;
 import org.cowslipmoor.schema.fleet.MovingRange;
 import org.cowslipmoor.schema.fleet.TargetSample;
 import org.cowslipmoor.schema.fleet.TargetState;
@@ -43,6 +46,7 @@
                         .setInFlight(s.inFlight())
                         .setAnswers(s.responses())
                         .setServiceMicros(TimeUnit.NANOSECONDS.toMicros(s.serviceNanos()))));
+    report.leaving().forEach(target -> message.addLeaving(encodeLeaving(target)));
     return message.build();
   }
 
@@ -70,6 +74,7 @@
         targets.buildOrThrow(),
         message.getStoreRevision(),
         ImmutableSet.copyOf(message.getApprovalsList()),
+        decodeLeaving(message.getLeavingList()),
         message.getSentAt());
   }
 
@@ -97,6 +102,7 @@
               .setFrom(m.range().from())
               .setTo(m.range().to()));
     }
+    state.leaving().forEach(target -> message.addLeaving(encodeLeaving(target)));
     return message.build();
   }
 
@@ -123,7 +129,24 @@
         message.getTableVersion(),
         moving.build(),
         ImmutableSet.copyOf(message.getCandidatesList()),
-        message.getRelaysStore());
+        message.getRelaysStore(),
+        decodeLeaving(message.getLeavingList()));
+  }
+
+  private static LeavingTarget encodeLeaving(TargetIncarnation target) {
+    return LeavingTarget.newBuilder()
+        .setTarget(target.id())
+        .setStartedAt(target.startedAt())
+        .build();
+  }
+
+  private static ImmutableSet<TargetIncarnation> decodeLeaving(List<LeavingTarget> messages) {
+    ImmutableSet.Builder<TargetIncarnation> targets = ImmutableSet.builder();
+    for (LeavingTarget m : messages) {
+      checkArgument(!m.getTarget().isEmpty(), "a leaving target has no id");
+      targets.add(new TargetIncarnation(m.getTarget(), m.getStartedAt()));
+    }
+    return targets.build();
   }
 
   private static ImmutableMap<Integer, Integer> decodeCounts(KeyLoad load) {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
@@ -9,12 +9,15 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
+import org.cowslipmoor.core.discovery.TargetIncarnation;
 import org.cowslipmoor.core.fleet.FleetAggregator;
 import org.cowslipmoor.core.fleet.FleetState;
 import org.cowslipmoor.core.fleet.HostReport;
+import org.cowslipmoor.core.fleet.LeavingReports;
 import org.cowslipmoor.core.fleet.LinkBudget;
 import org.cowslipmoor.core.fleet.MemberList;
 import org.cowslipmoor.core.fleet.Membership;
@@ -49,11 +52,13 @@
   private final Supplier<StoreView> view;
   private final Supplier<HostReport> reportSupplier;
   private final Consumer<FleetState> onFleetState;
+  private final BiConsumer<TargetIncarnation, String> onLeaving;
   private final MemberLinks links;
   private final LinkBudget budget;
   private final StoreUpdateRelay relay = StoreUpdateRelay.create();
   private final RelayLog log = new RelayLog(System.nanoTime());
   private final FleetAggregator aggregator = FleetAggregator.create(System.nanoTime());
+  private final LeavingReports leavingReports = LeavingReports.create();
   private final PredecessorNotifier predecessorNotifier = new PredecessorNotifier();
   private StoreView.@Nullable Coordinator predecessor;
   private @Nullable Membership membership;
@@ -74,6 +79,7 @@
    * @param linkBytesPerSecond capacity of this host's network link
    * @param reportSupplier creates the report of this host's load since its last one
    * @param onFleetState receives the state of the fleet
+   * @param onLeaving receives each target that a host reports as leaving, and that host's id
    */
   public FleetExchange(
       EventLoopGroup group,
@@ -84,13 +90,15 @@
       Coordination coordination,
       Supplier<StoreView> view,
       Supplier<HostReport> reportSupplier,
-      Consumer<FleetState> onFleetState) {
+      Consumer<FleetState> onFleetState,
+      BiConsumer<TargetIncarnation, String> onLeaving) {
     this.host = host;
     this.store = store;
     this.coordination = coordination;
     this.view = view;
     this.reportSupplier = reportSupplier;
     this.onFleetState = onFleetState;
+    this.onLeaving = onLeaving;
     Hello hello =
         Hello.newBuilder().setSetup(SETUP).setMemberId(host).setDataCentre(dataCentre).build();
     this.budget = LinkBudget.create(linkBytesPerSecond, System.nanoTime());
@@ -105,7 +113,7 @@
 
   /** Sends the load report or fleet state that is due; must be called a few times a second. */
   public void tick() {
-    HostReport own = reportSupplier.get();
+    HostReport own = ownReport();
     if (coordination.isCoordinator()) {
       onReport(host, own);
       updateMembers();
@@ -129,6 +137,11 @@
     }
   }
 
+  private HostReport ownReport() {
+    HostReport report = reportSupplier.get();
+    return report.withLeaving(leavingReports.pending(report.leaving(), view.get().directory()));
+  }
+
   /** Returns the load of a keyed service, as reported to this host while it is the coordinator. */
   public ServiceLoad load(String service) {
     List<DiscoveredTarget> targets = view.get().directory().usable(service);
@@ -137,8 +150,11 @@
 
   /** Applies a change of the store. */
   public void onView(StoreView newView) {
-    aggregator.retain(newView.directory().all().keySet());
+    aggregator.onTargets(newView.directory().all().values());
     StoreView.Coordinator c = newView.coordinator();
+    if (c != null) {
+      leavingReports.onTerm(c.term());
+    }
     if (c != null && !c.host().equals(host)) {
       onOtherCoordinator(c);
     }
@@ -194,7 +210,7 @@
     try {
       switch (frame.getContentCase()) {
         case HOST_REPORT -> onReport(from, FleetCodec.decodeReport(frame.getHostReport()));
-        case FLEET_STATE -> onFleetState.accept(FleetCodec.decodeState(frame.getFleetState()));
+        case FLEET_STATE -> onState(from, FleetCodec.decodeState(frame.getFleetState()));
         case STORE_NEWS -> store.onRelayedUpdates(frame.getStoreNews());
         default -> Logger.debug("host {} sent a frame of a type that is not handled here", from);
       }
@@ -203,9 +219,17 @@
     }
   }
 
+  private void onState(String from, FleetState state) {
+    StoreView.Coordinator c = view.get().coordinator();
+    if (c != null && c.host().equals(from)) {
+      leavingReports.onState(state);
+    }
+    onFleetState.accept(state);
+  }
+
   private void onReport(String from, HostReport hostReport) {
     long now = System.nanoTime();
-    aggregator.onReport(from, hostReport, now);
+    aggregator.onReport(from, hostReport, now).forEach(target -> onLeaving.accept(target, from));
     if (!from.equals(host)) {
       relay.onReport(from, hostReport.storeRevision(), hostReport.sentAt());
     }
@@ -318,7 +342,7 @@
         sent++;
       }
     }
-    onFleetState.accept(state);
+    onState(host, state);
     return (long) sent * frame.getSerializedSize();
   }
 
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
@@ -14,7 +14,9 @@
 import org.cowslipmoor.core.admission.TargetLoadBalancer;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.discovery.DrainDeadlines;
+import org.cowslipmoor.core.discovery.LeavingTargets;
 import org.cowslipmoor.core.discovery.TargetDirectory;
+import org.cowslipmoor.core.discovery.TargetIncarnation;
 import org.cowslipmoor.core.fleet.FleetSize;
 import org.cowslipmoor.core.fleet.FleetState;
 import org.cowslipmoor.core.limit.MemoryBudget;
@@ -52,6 +54,7 @@
   private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
   private final RetryCounts retryCounts = new RetryCounts(System.nanoTime());
   private final DrainDeadlines drainDeadlines = DrainDeadlines.create(System.nanoTime());
+  private final LeavingTargets leavingTargets = LeavingTargets.create();
   private final CallerConnections callers = new CallerConnections();
   private final MemoryBudget bodyMemory = MemoryBudget.create(MAX_BODY_MEMORY_BYTES);
   private SharedRetryBudget.Limits retryLimits;
@@ -108,6 +111,22 @@
     drainDeadlines.onConfirmed(at);
   }
 
+  /**
+   * Records that a target is leaving.
+   *
+   * @param source where this host learnt it
+   */
+  public void onLeaving(TargetIncarnation target, String source, long now) {
+    if (leavingTargets.onLeaving(target, now)) {
+      Logger.info("event=leaving target={} source={}", target.id(), source);
+    }
+  }
+
+  /** Returns the targets that are leaving, as far as this host knows. */
+  public ImmutableSet<TargetIncarnation> leavingTargets() {
+    return leavingTargets.targets();
+  }
+
   /** Applies the aggregated state of all hosts. */
   public void onFleetState(FleetState newState, long now) {
     fleet = newState;
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -138,7 +138,8 @@
             coordination,
             () -> view,
             this::createReport,
-            this::onFleetState);
+            this::onFleetState,
+            (target, from) -> gateway.onLeaving(target, from, System.nanoTime()));
     metrics.registerGauge(
         GatewayMetric.COORDINATOR.name(), () -> coordination.isCoordinator() ? 1 : 0);
     metricsPage = new MetricsPage(metrics);
@@ -273,7 +274,9 @@
   }
 
   private void onFleetState(FleetState state) {
-    gateway.onFleetState(state, System.nanoTime());
+    long now = System.nanoTime();
+    gateway.onFleetState(state, now);
+    state.leaving().forEach(target -> gateway.onLeaving(target, "coordinator", now));
   }
 
   private void tick() {
@@ -293,6 +296,7 @@
         loadBalancer.drainSamples(),
         store.revision(),
         gateway.candidates(),
+        gateway.leavingTargets(),
         System.nanoTime());
   }
 
--- a/daemon/src/test/java/org/cowslipmoor/daemon/codec/FleetCodecTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/codec/FleetCodecTest.java
@@ -2,15 +2,20 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import java.util.stream.IntStream;
+import org.cowslipmoor.core.discovery.TargetIncarnation;
 import org.cowslipmoor.core.fleet.FleetState;
 import org.cowslipmoor.core.fleet.HostReport;
 import org.cowslipmoor.core.range.KeyRange;
 import org.cowslipmoor.schema.fleet.KeyLoad;
+import org.cowslipmoor.schema.fleet.LeavingTarget;
+import org.cowslipmoor.schema.member.Envelope;
 import org.junit.jupiter.api.Test;
 
 final class FleetCodecTest {
@@ -22,6 +27,7 @@
             ImmutableMap.of("t", new HostReport.TargetSample(2, 5, 4_000_000)),
             17,
             ImmutableSet.of("new"),
+            ImmutableSet.of(new TargetIncarnation("t", 1_796_000_000_000L)),
             -5);
     assertThat(FleetCodec.decodeReport(FleetCodec.encodeReport(report)), is(report));
   }
@@ -35,7 +41,8 @@
             8,
             ImmutableList.of(new FleetState.MovingRange("stock", new KeyRange(1, 2))),
             ImmutableSet.of("new"),
-            true);
+            true,
+            ImmutableSet.of(new TargetIncarnation("t", -3)));
     assertThat(FleetCodec.decodeState(FleetCodec.encodeState(state)), is(state));
   }
 
@@ -47,4 +54,39 @@
             .build();
     assertThrows(IllegalArgumentException.class, () -> FleetCodec.decodeReport(message));
   }
+
+  @Test
+  void leavingTargetWithoutIdIsRejected() {
+    LeavingTarget nameless = LeavingTarget.newBuilder().setStartedAt(1).build();
+    org.cowslipmoor.schema.fleet.HostReport report =
+        org.cowslipmoor.schema.fleet.HostReport.newBuilder().addLeaving(nameless).build();
+    org.cowslipmoor.schema.fleet.FleetState state =
+        org.cowslipmoor.schema.fleet.FleetState.newBuilder().addLeaving(nameless).build();
+    assertThrows(IllegalArgumentException.class, () -> FleetCodec.decodeReport(report));
+    assertThrows(IllegalArgumentException.class, () -> FleetCodec.decodeState(state));
+  }
+
+  /** Each host sends a report and receives a state four times a second, for 15 KB/s at most. */
+  @Test
+  void thirtyLeavingTargetsFitIntoTheTrafficOfOneHost() {
+    ImmutableSet<TargetIncarnation> leaving =
+        IntStream.range(0, 30)
+            .mapToObj(
+                i -> new TargetIncarnation(String.format("i-%08x", 31 * i), 1_796_000_000_000L))
+            .collect(ImmutableSet.toImmutableSet());
+    HostReport report =
+        new HostReport(
+            ImmutableMap.of(), ImmutableMap.of(), 17, ImmutableSet.of(), leaving, 1_000_000_000L);
+    FleetState state =
+        new FleetState(
+            1_000, ImmutableMap.of(), 8, ImmutableList.of(), ImmutableSet.of(), true, leaving);
+    Envelope reportFrame =
+        Envelope.newBuilder().setHostReport(FleetCodec.encodeReport(report)).build();
+    Envelope stateFrame =
+        Envelope.newBuilder().setFleetState(FleetCodec.encodeState(state)).build();
+
+    int bytesPerSecond = 4 * (reportFrame.getSerializedSize() + stateFrame.getSerializedSize());
+
+    assertThat(bytesPerSecond, lessThan(15_000));
+  }
 }
--- a/daemon/src/test/java/org/cowslipmoor/daemon/coordination/SuccessorTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/coordination/SuccessorTest.java
@@ -13,10 +13,14 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.net.ServerSocket;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.discovery.TargetDirectory;
+import org.cowslipmoor.core.discovery.TargetIncarnation;
 import org.cowslipmoor.core.fleet.CoordinationLoad;
 import org.cowslipmoor.core.fleet.HostReport;
 import org.cowslipmoor.core.fleet.MemberList;
@@ -34,6 +38,9 @@
   private static final long LEASE_MILLIS = 1_500;
   private static final long NEW_TERM = 5;
   private static final long TIMEOUT_MILLIS = 10_000;
+  private static final DiscoveredTarget LEAVING =
+      new DiscoveredTarget(
+          new TargetIncarnation("t", 1), "stock", "127.0.0.1:9", "cairo", 1, false, 0);
 
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -50,6 +57,13 @@
     final ScriptedStore store = new ScriptedStore();
     final Coordination coordination;
     final FleetExchange fleet;
+
+    /** The targets that the host itself knows to be leaving. */
+    final Set<TargetIncarnation> leaving = ConcurrentHashMap.newKeySet();
+
+    /** The targets that a state of the fleet has listed as leaving. */
+    final Set<TargetIncarnation> listed = ConcurrentHashMap.newKeySet();
+
     private MemberList members = MemberList.empty();
     private StoreView view = view(null);
 
@@ -69,18 +83,40 @@
               new CoordinationLoad(1e8, 1));
       fleet =
           new FleetExchange(
-              group, id, "cairo", 1e8, store, coordination, () -> view, Host::report, unused -> {});
+              group,
+              id,
+              "cairo",
+              1e8,
+              store,
+              coordination,
+              () -> view,
+              this::report,
+              state -> listed.addAll(state.leaving()),
+              (target, unused) -> leaving.add(target));
       fleet.listen(HostAndPort.fromString(address));
     }
 
-    private static HostReport report() {
+    private HostReport report() {
       return new HostReport(
-          ImmutableMap.of(), ImmutableMap.of(), 1, ImmutableSet.of(), System.nanoTime());
+          ImmutableMap.of(),
+          ImmutableMap.of(),
+          1,
+          ImmutableSet.of(),
+          ImmutableSet.copyOf(leaving),
+          System.nanoTime());
     }
 
     private StoreView view(StoreView.@Nullable Coordinator coordinator) {
       return new StoreView(
-          null, TargetDirectory.empty(), RangeTable.empty(), 0, members, 1, coordinator, true, 1);
+          null,
+          TargetDirectory.of(List.of(LEAVING)),
+          RangeTable.empty(),
+          0,
+          members,
+          1,
+          coordinator,
+          true,
+          1);
     }
 
     StoreView.Coordinator asCoordinator(long term) {
@@ -164,6 +200,33 @@
     assertThat(passedOn.getSince(), is(ScriptedStore.COORDINATOR_UPDATE));
   }
 
+  /** The successor may have been cut off from its predecessor, or may have just started. */
+  @Test
+  void successorLearnsOfLeavingTargetsThatItsPredecessorHasListed() throws Exception {
+    Host predecessor = new Host("old");
+    final Host successor = new Host("new");
+    Host reporter = new Host("reporter");
+    predecessor.becomeCoordinator(ScriptedStore.LEASE.term());
+    reporter.learn(predecessor.asCoordinator(ScriptedStore.LEASE.term()));
+    reporter.leaving.add(LEAVING.incarnation());
+    tickUntilContained(predecessor.leaving, reporter);
+    tickUntilContained(reporter.listed, predecessor);
+
+    successor.becomeCoordinator(NEW_TERM);
+    reporter.learn(successor.asCoordinator(NEW_TERM));
+
+    tickUntilContained(successor.leaving, reporter);
+  }
+
+  private void tickUntilContained(Set<TargetIncarnation> targets, Host sender) throws Exception {
+    long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
+    while (!targets.contains(LEAVING.incarnation())) {
+      assertThat(System.nanoTime() - until < 0, is(true));
+      run(sender.fleet::tick);
+      run(() -> {});
+    }
+  }
+
   /** The state that a host has cached may name a coordinator from before its own claim. */
   @Test
   void coordinatorKeepsItsTermWhenItsCacheNamesAnEarlierOne() throws Exception {
--- a/testing/src/main/java/org/cowslipmoor/testing/placement/PlacementSimulation.java
+++ b/testing/src/main/java/org/cowslipmoor/testing/placement/PlacementSimulation.java
@@ -250,7 +250,12 @@
     void report() {
       HostReport report =
           new HostReport(
-              ImmutableMap.of(), balancer.drainSamples(), 0, ImmutableSet.of(), events.now());
+              ImmutableMap.of(),
+              balancer.drainSamples(),
+              0,
+              ImmutableSet.of(),
+              ImmutableSet.of(),
+              events.now());
       events.after(ONE_WAY_DELAY_NANOS, () -> aggregator.onReport(id, report, events.now()));
       if (events.now() < endNanos) {
         events.after(REPORT_INTERVAL_NANOS, this::report);
