Simulate owners that state that they leave

What callers saw: an owner that states in its responses that it leaves kept its keys, since its entry still said ready. The hand-over that now follows must not make a second owner while reports are late or lost and coordinators change.

Change: the simulated hosts exchange leaving targets by the real LeavingReports, FleetAggregator and LeavingTargets, with delays of up to 1 s and a loss of 0.2. A new property runs 100 seeds with statements, faults of the store, links, hosts and targets; the earlier properties' seeds play the same sequences as before.

RangeOwnershipProperties, RangeOwnershipTest and RangeCoordinatorTest pass.

--- a/core/src/test/java/org/cowslipmoor/core/range/FakeHost.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/FakeHost.java
@@ -2,9 +2,17 @@
 
 import static org.cowslipmoor.core.range.GrantOutcome.NOT_SENT;
 
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.util.SplittableRandom;
+import org.cowslipmoor.core.discovery.LeavingTargets;
 import org.cowslipmoor.core.discovery.TargetDirectory;
+import org.cowslipmoor.core.discovery.TargetIncarnation;
+import org.cowslipmoor.core.fleet.FleetAggregator;
+import org.cowslipmoor.core.fleet.FleetState;
+import org.cowslipmoor.core.fleet.HostReport;
+import org.cowslipmoor.core.fleet.LeavingReports;
 
 /**
  * A simulated host that acts as coordinator while it holds the store's lease. As in the daemon, its
@@ -22,11 +30,19 @@
   private static final long RETRANSMISSION_NANOS = 200 * VirtualTime.NANOS_PER_MILLI;
   private static final long TICK_NANOS = 50 * VirtualTime.NANOS_PER_MILLI;
 
+  /** Ticks between two reports or states. */
+  private static final int EXCHANGE_TICKS = 5;
+
   private final RangeSimulation simulation;
+  private final String id;
   private final VirtualTime time;
   private final FakeStore store;
   private final SplittableRandom random;
   private final Leadership leadership;
+  private final LeavingTargets leaving = LeavingTargets.create();
+  private final LeavingReports leavingReports = LeavingReports.create();
+  private final FleetAggregator aggregator;
+  private int ticks;
   private TargetDirectory directory = TargetDirectory.empty();
   private RangeCoordinator coordinator;
   private long tableRevision;
@@ -54,13 +70,15 @@
    *
    * @param trustedLeaseNanos the duration that this host assumes for its leases
    */
-  FakeHost(RangeSimulation simulation, long trustedLeaseNanos, SplittableRandom random) {
+  FakeHost(RangeSimulation simulation, String id, long trustedLeaseNanos, SplittableRandom random) {
+    this.id = id;
     this.simulation = simulation;
     this.time = simulation.time;
     this.store = simulation.store;
     this.random = random;
     this.leadership =
         Leadership.create(trustedLeaseNanos / VirtualTime.NANOS_PER_MILLI, random.split());
+    this.aggregator = FleetAggregator.create(now());
     this.resumesAt = time.now();
     time.schedule(TICK_NANOS, () -> runOnLoop(this::tick));
   }
@@ -84,10 +102,24 @@
     return coordinator != null && leadership.leads(now());
   }
 
+  /** Returns the term of this host's lease, which it must hold. */
+  long term() {
+    return leadership.lease().term();
+  }
+
   void stop() {
     isRunning = false;
   }
 
+  boolean isRunning() {
+    return isRunning;
+  }
+
+  /** Records that a target is leaving. */
+  void onLeaving(TargetIncarnation target) {
+    leaving.onLeaving(target, now());
+  }
+
   /** Suspends the host for a time in which its clock doesn't advance; calls stay in flight. */
   void suspend(long durationNanos) {
     if (time.now() < resumesAt) {
@@ -152,8 +184,13 @@
     handleSuspension(now);
     if (store.isReachableBy(this)) {
       directory = simulation.directory();
+      leaving.onTargets(directory.all().values(), now);
+      aggregator.onTargets(directory.all().values());
       leadership.onVacancy(now, store.isVacant(), 0);
     }
+    if (simulation.exchangesLeaving && ++ticks % EXCHANGE_TICKS == 0) {
+      exchangeLeaving(now);
+    }
     leadership.tick(now).ifPresent(this::call);
     if (leadership.lease() == null) {
       coordinator = null;
@@ -167,10 +204,47 @@
     }
   }
 
+  /** Reports the leaving targets, and sends the state of the fleet while this host leads. */
+  private void exchangeLeaving(long now) {
+    simulation
+        .coordinator()
+        .ifPresent(
+            to -> {
+              leavingReports.onTerm(to.term());
+              HostReport report =
+                  new HostReport(
+                      ImmutableMap.of(),
+                      ImmutableMap.of(),
+                      0,
+                      ImmutableSet.of(),
+                      leavingReports.pending(leaving.targets(), directory),
+                      now);
+              simulation.exchange(to, () -> to.onReport(this, report));
+            });
+    if (leads()) {
+      FleetState state = aggregator.state(now, 0, ImmutableList.of(), ImmutableSet.of(), true);
+      long term = term();
+      for (FakeHost to : simulation.runningHosts()) {
+        simulation.exchange(to, () -> to.onState(state, term));
+      }
+    }
+  }
+
+  private void onReport(FakeHost from, HostReport report) {
+    aggregator.onReport(from.id, report, now()).forEach(this::onLeaving);
+  }
+
+  private void onState(FleetState state, long term) {
+    if (simulation.coordinator().filter(c -> c.term() == term).isPresent()) {
+      leavingReports.onState(state);
+    }
+    state.leaving().forEach(this::onLeaving);
+  }
+
   private RangeInputs inputs(long now) {
     return new RangeInputs(
         ImmutableSet.of(RangeSimulation.SERVICE),
-        directory,
+        directory.withDraining(leaving.targets()),
         unused -> simulation.load,
         leadership.isRecentlyRenewed(now));
   }
@@ -230,7 +304,13 @@
   private void perform(RangeCoordinator c, RangeAction action) {
     switch (action) {
       case RangeAction.Grant a -> send(c, () -> grant(c, a), () -> onGrant(c, a, NOT_SENT));
-      case RangeAction.Release a -> send(c, () -> release(c, a), () -> onRelease(c, a, false));
+      case RangeAction.Release a -> {
+        if (simulation.assumesReleases) {
+          onRelease(c, a, true);
+        } else {
+          send(c, () -> release(c, a), () -> onRelease(c, a, false));
+        }
+      }
       case RangeAction.Write a -> write(c, a.table());
     }
   }
--- a/core/src/test/java/org/cowslipmoor/core/range/RangeOwnershipProperties.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/RangeOwnershipProperties.java
@@ -129,6 +129,67 @@
     assertThat(simulation.advanceUntilAllServed(5_000 * RangeSimulation.NANOS_PER_MILLI), is(true));
   }
 
+  /**
+   * Guards against two owners when an owner states that it leaves, one host sees it, and its entry
+   * still says that it is ready.
+   */
+  @Property(tries = 100, seed = "20261206")
+  void keysOfOwnersThatStateThatTheyLeaveKeepOneOwner(@ForAll long seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    RangeSimulation simulation = new RangeSimulation(seed, 5, 0.05, 1);
+    simulation.maxExchangeDelayNanos = 1_000 * RangeSimulation.NANOS_PER_MILLI;
+    simulation.exchangeLossProbability = 0.2;
+    List<FakeHost> hosts = new ArrayList<>(List.of(simulation.leader()));
+    addHosts(simulation, hosts, random);
+    simulation.run(3_000 * RangeSimulation.NANOS_PER_MILLI);
+    for (int i = 0; i < STEPS; i++) {
+      stateLeaving(simulation, random);
+      injectHostFaults(simulation, hosts, random);
+      injectTargetFaults(simulation, random);
+      simulation.run(
+          random.nextLong(2_500) * RangeSimulation.NANOS_PER_MILLI
+              + RangeSimulation.NANOS_PER_MILLI);
+    }
+    endFaults(simulation, hosts);
+
+    assertThat(simulation.violations(), is(empty()));
+    // A transfer may be in progress.
+    assertThat(simulation.advanceUntilAllServed(5_000 * RangeSimulation.NANOS_PER_MILLI), is(true));
+  }
+
+  /**
+   * Verifies that the check detects a coordinator that grants the keys of an owner that leaves to
+   * the next one without waiting for the release.
+   */
+  @Property(tries = 1, seed = "20261206")
+  void releasesThatAreAssumedAreDetected() {
+    int violations = 0;
+    for (long seed = 0; seed < 5; seed++) {
+      violations += violationsAfterStatements(seed, true);
+      assertThat(violationsAfterStatements(seed, false), is(0));
+    }
+    assertThat(violations, greaterThan(0));
+  }
+
+  private static int violationsAfterStatements(long seed, boolean assumesReleases) {
+    SplittableRandom random = new SplittableRandom(seed);
+    RangeSimulation simulation = new RangeSimulation(seed, 5, 0, 1);
+    simulation.assumesReleases = assumesReleases;
+    simulation.addHost();
+    simulation.run(5_000 * RangeSimulation.NANOS_PER_MILLI);
+    for (int i = 0; i < 3; i++) {
+      stateLeaving(simulation, random);
+      simulation.run(2_000 * RangeSimulation.NANOS_PER_MILLI);
+    }
+    return simulation.violations().size();
+  }
+
+  private static void stateLeaving(RangeSimulation simulation, SplittableRandom random) {
+    List<FakeHost> running = simulation.runningHosts();
+    simulation.stateLeaving(
+        anyTarget(simulation, random), running.get(random.nextInt(running.size())));
+  }
+
   /** Covers a large service whose owners have several entries each. */
   @Property(tries = 2, seed = "20261204")
   void keysOfManyTargetsKeepOneOwner(@ForAll long seed) {
--- a/core/src/test/java/org/cowslipmoor/core/range/RangeOwnershipTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/RangeOwnershipTest.java
@@ -17,12 +17,53 @@
 final class RangeOwnershipTest {
   private static final long NANOS_PER_MILLI = RangeSimulation.NANOS_PER_MILLI;
 
+  /** Time for which a target that leaves may still receive requests. */
+  private static final long MAX_USE_NANOS = 2_000 * NANOS_PER_MILLI;
+
   /** The target whose keys are reassigned; t0 and t2 can take them over. */
   private static final String TARGET = "t1";
 
   private final RangeSimulation simulation = new RangeSimulation(1, 3, 0, 1);
   private final FakeHost former = simulation.leader();
 
+  /** Only a host that isn't the coordinator sees the statement, and the entry still says ready. */
+  @Test
+  void keysOfOwnerThatStatesThatItLeavesAreHandedOverBeforeItsLastRequest() {
+    FakeHost observer = simulation.addHost();
+    simulation.run(5_000 * NANOS_PER_MILLI);
+    assertThat(ownsKeys(TARGET), is(true));
+
+    simulation.stateLeaving(TARGET, observer);
+    simulation.run(MAX_USE_NANOS);
+
+    assertThat(ownsKeys(TARGET), is(false));
+    assertThat(simulation.servedFraction(), is(1.0));
+    assertThat(simulation.violations(), is(empty()));
+  }
+
+  /** The next coordinator learns of the statement only if it is reported again. */
+  @Test
+  void nextCoordinatorHandsOverKeysOfOwnerThatLeaves() {
+    FakeHost observer = simulation.addHost();
+    simulation.run(5_000 * NANOS_PER_MILLI);
+    // Keeps the first coordinator from writing the next owner.
+    simulation.store.disconnect(former);
+    simulation.stateLeaving(TARGET, observer);
+    simulation.run(1_000 * NANOS_PER_MILLI);
+    assertThat(ownsKeys(TARGET), is(true));
+
+    simulation.replaceCoordinator();
+    simulation.run(10_000 * NANOS_PER_MILLI);
+
+    assertThat(ownsKeys(TARGET), is(false));
+    assertThat(simulation.servedFraction(), is(1.0));
+    assertThat(simulation.violations(), is(empty()));
+  }
+
+  private boolean ownsKeys(String target) {
+    return simulation.store.table().entries().stream().anyMatch(e -> e.owner().id().equals(target));
+  }
+
   /**
    * The former coordinator continues to send grants until its revoked lease ends by its own clock.
    */
--- a/core/src/test/java/org/cowslipmoor/core/range/RangeSimulation.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/RangeSimulation.java
@@ -1,8 +1,11 @@
 package org.cowslipmoor.core.range;
 
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
@@ -31,7 +34,12 @@
   private final OwnerCheck check = new OwnerCheck();
   private final Map<String, DiscoveredTarget> formerEntries = new HashMap<>();
   private final Map<LinkId, LinkFault> linkFaults = new HashMap<>();
+  private final List<FakeHost> hosts = new ArrayList<>();
   private final SplittableRandom random;
+
+  /** Separate, so that the other events of a seed don't depend on the exchange. */
+  private final SplittableRandom exchangeRandom;
+
   private final double holdFactor;
   private FakeHost leader;
   private long nextIncarnation = 1;
@@ -40,6 +48,18 @@
   /** Whether targets reject commands that are meant for another id at their address. */
   boolean checksInstance = true;
 
+  /** Whether hosts exchange which targets are leaving; begins with the first statement. */
+  boolean exchangesLeaving;
+
+  /** Maximum time that a report or a state takes from one host to another. */
+  long maxExchangeDelayNanos = 20 * NANOS_PER_MILLI;
+
+  /** Probability that a report or a state is lost. */
+  double exchangeLossProbability;
+
+  /** Whether coordinators take a release as confirmed without asking the owner. */
+  boolean assumesReleases;
+
   /** Probability that a grant gets no response and is executed late. */
   double lateProbability;
 
@@ -62,6 +82,7 @@
    */
   RangeSimulation(long seed, int targetCount, double lateProbability, double holdFactor) {
     this.random = new SplittableRandom(seed);
+    this.exchangeRandom = new SplittableRandom(~seed);
     this.lateProbability = lateProbability;
     this.holdFactor = holdFactor;
     this.store = new FakeStore(time, random.split());
@@ -79,7 +100,39 @@
 
   /** Adds a host that assumes the given duration for its leases. */
   FakeHost addHost(long trustedLeaseNanos) {
-    return new FakeHost(this, trustedLeaseNanos, random.split());
+    FakeHost host = new FakeHost(this, "host" + hosts.size(), trustedLeaseNanos, random.split());
+    hosts.add(host);
+    return host;
+  }
+
+  /** Returns the running coordinator of the latest term. */
+  Optional<FakeHost> coordinator() {
+    return hosts.stream()
+        .filter(h -> h.isRunning() && h.leads())
+        .max(Comparator.comparingLong(FakeHost::term));
+  }
+
+  /** Returns the hosts that have not stopped. */
+  List<FakeHost> runningHosts() {
+    return hosts.stream().filter(FakeHost::isRunning).toList();
+  }
+
+  /**
+   * Lets a host learn from a response of a target that it is leaving, while the target's entry
+   * stays as it is.
+   */
+  void stateLeaving(String id, FakeHost learntBy) {
+    exchangesLeaving = true;
+    learntBy.onLeaving(targets.get(id).announced.incarnation());
+  }
+
+  /** Delivers a report or a state to a host, unless it is lost. */
+  void exchange(FakeHost to, Runnable delivery) {
+    if (exchangeRandom.nextDouble() >= exchangeLossProbability) {
+      time.schedule(
+          LATENCY_NANOS + exchangeRandom.nextLong(maxExchangeDelayNanos),
+          () -> to.onResponse(delivery));
+    }
   }
 
   /** Returns the host that this simulation last made coordinator. */
