List leaving targets also while the link has no room for loads

What callers saw: in a large fleet most hosts would send to a leaving target until they had seen its statement themselves. The fleet's state holds the load of every target; at 1,000 hosts with 3,500 targets and 200 Mbit/s it is due every 12 s only.

Cause: the statement rides on a message whose size, not its own, sets how often it is sent.

Change: when a leaving target has been listed in no state yet and the full state isn't due, the tick sends the state without loads. That is at most one message per host for a statement, and four a second for any number of them. A state that announces revoked keys lists leaving targets only in that case, since it may be sent 20 times a second.

Evidence: SuccessorTest#leavingTargetIsListedWhileTheLinkHasNoRoomForLoads fails without the branch (not listed within 10 s). What remains is the time that a full state occupies the link.

--- a/core/src/main/java/org/cowslipmoor/core/fleet/FleetAggregator.java
+++ b/core/src/main/java/org/cowslipmoor/core/fleet/FleetAggregator.java
@@ -5,8 +5,10 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.Collectors;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.discovery.TargetIncarnation;
@@ -47,6 +49,9 @@
   /** Time of the latest report of each leaving target. */
   private final Map<TargetIncarnation, Long> leavingReportedAt = new HashMap<>();
 
+  /** Leaving targets that no state has listed since they became known. */
+  private final Set<TargetIncarnation> unlisted = new HashSet<>();
+
   private ImmutableSet<TargetIncarnation> registered = ImmutableSet.of();
 
   private record ReceivedReport(HostReport report, long receivedAt) {}
@@ -78,13 +83,26 @@
                 serviceTimes
                     .computeIfAbsent(target, unused -> new ServiceTime(now))
                     .add(s.responses(), s.serviceNanos(), now));
-    return report.leaving().stream()
-        .filter(
-            target -> {
-              Long before = leavingReportedAt.put(target, now);
-              return before == null || now - before >= LEAVING_ANNOUNCEMENT_NANOS;
-            })
-        .collect(ImmutableSet.toImmutableSet());
+    ImmutableSet<TargetIncarnation> newTargets =
+        report.leaving().stream()
+            .filter(
+                target -> {
+                  Long before = leavingReportedAt.put(target, now);
+                  return before == null || now - before >= LEAVING_ANNOUNCEMENT_NANOS;
+                })
+            .collect(ImmutableSet.toImmutableSet());
+    unlisted.addAll(newTargets);
+    return newTargets;
+  }
+
+  /** Records that a state was sent to all hosts. */
+  public void onSent(FleetState state) {
+    unlisted.removeAll(state.leaving());
+  }
+
+  /** Returns whether a registered leaving target was listed in no state since it became known. */
+  public boolean hasUnlistedLeaving() {
+    return unlisted.stream().anyMatch(registered::contains);
   }
 
   /** Records the registered targets, and drops the measurements of all others. */
@@ -166,6 +184,7 @@
   private void expire(long now) {
     reports.values().removeIf(r -> now - r.receivedAt() > REPORT_TIMEOUT_NANOS);
     leavingReportedAt.values().removeIf(at -> now - at >= LEAVING_ANNOUNCEMENT_NANOS);
+    unlisted.retainAll(leavingReportedAt.keySet());
   }
 
   /** A target's number of responses and their total service time, both decaying exponentially. */
--- a/core/src/main/java/org/cowslipmoor/core/fleet/FleetState.java
+++ b/core/src/main/java/org/cowslipmoor/core/fleet/FleetState.java
@@ -48,10 +48,16 @@
    */
   public record MovingRange(String service, KeyRange range) {}
 
-  /** Returns this state without the state of targets, including which of them are leaving. */
+  /** Returns this state without the load of targets. */
   public FleetState withoutTargets() {
     return new FleetState(
-        hosts, ImmutableMap.of(), tableVersion, moving, candidates, relaysStore, ImmutableSet.of());
+        hosts, ImmutableMap.of(), tableVersion, moving, candidates, relaysStore, leaving);
+  }
+
+  /** Returns this state without the leaving targets. */
+  public FleetState withoutLeaving() {
+    return new FleetState(
+        hosts, targets, tableVersion, moving, candidates, relaysStore, ImmutableSet.of());
   }
 
   /** Returns whether a key is being revoked from its owner. */
--- a/core/src/test/java/org/cowslipmoor/core/fleet/FleetAggregatorTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/fleet/FleetAggregatorTest.java
@@ -87,4 +87,21 @@
 
     assertThat(listed(2), is(ImmutableSet.of(TARGET)));
   }
+
+  @Test
+  void leavingTargetIsUnlistedUntilAStateThatListsItIsSent() {
+    register(TARGET);
+    assertThat(aggregator.hasUnlistedLeaving(), is(false));
+    report("x", 0, TARGET, FORMER);
+    assertThat(aggregator.hasUnlistedLeaving(), is(true));
+    FleetState state = aggregator.state(1, 0, ImmutableList.of(), ImmutableSet.of(), true);
+
+    aggregator.onSent(state.withoutLeaving());
+    assertThat(aggregator.hasUnlistedLeaving(), is(true));
+    aggregator.onSent(state.withoutTargets());
+
+    assertThat(aggregator.hasUnlistedLeaving(), is(false));
+    report("y", 2, TARGET);
+    assertThat(aggregator.hasUnlistedLeaving(), is(false));
+  }
 }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
@@ -120,6 +120,9 @@
       long now = System.nanoTime();
       if (budget.mayBroadcast(links.unsentBytes(), now)) {
         budget.onBroadcast(broadcast(state(now)), now);
+      } else if (aggregator.hasUnlistedLeaving() && budget.hasCapacity(links.unsentBytes())) {
+        // The loads of many targets are sent seldom, which would delay this for too long.
+        broadcast(state(now).withoutTargets());
       }
       log.tick(now, aggregator.hosts(now).size(), links.unsentBytes());
       predecessorNotifier
@@ -319,7 +322,8 @@
   private void announceMoving(long now) {
     isMovingAnnouncementDue = false;
     movingAnnouncedAt = now;
-    broadcast(state(now).withoutTargets());
+    FleetState state = state(now).withoutTargets();
+    broadcast(aggregator.hasUnlistedLeaving() ? state : state.withoutLeaving());
   }
 
   private FleetState state(long now) {
@@ -342,6 +346,7 @@
         sent++;
       }
     }
+    aggregator.onSent(state);
     onState(host, state);
     return (long) sent * frame.getSerializedSize();
   }
--- a/daemon/src/test/java/org/cowslipmoor/daemon/coordination/SuccessorTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/coordination/SuccessorTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.discovery.TargetDirectory;
 import org.cowslipmoor.core.discovery.TargetIncarnation;
@@ -33,7 +34,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-/** Tests a coordinator that the store rejects, and that is replaced meanwhile. */
+/** Tests a coordinator that the store rejects, and what it exchanges with hosts and successors. */
 final class SuccessorTest {
   private static final long LEASE_MILLIS = 1_500;
   private static final long NEW_TERM = 5;
@@ -42,6 +43,10 @@
       new DiscoveredTarget(
           new TargetIncarnation("t", 1), "stock", "127.0.0.1:9", "cairo", 1, false, 0);
 
+  private static final DiscoveredTarget OTHER_LEAVING =
+      new DiscoveredTarget(
+          new TargetIncarnation("u", 1), "stock", "127.0.0.1:10", "cairo", 1, false, 0);
+
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
@@ -68,6 +73,10 @@
     private StoreView view = view(null);
 
     Host(String id) throws Exception {
+      this(id, 1e8);
+    }
+
+    Host(String id, double linkBytesPerSecond) throws Exception {
       this.id = id;
       try (ServerSocket free = new ServerSocket(0)) {
         address = "127.0.0.1:" + free.getLocalPort();
@@ -86,7 +95,7 @@
               group,
               id,
               "cairo",
-              1e8,
+              linkBytesPerSecond,
               store,
               coordination,
               () -> view,
@@ -109,7 +118,7 @@
     private StoreView view(StoreView.@Nullable Coordinator coordinator) {
       return new StoreView(
           null,
-          TargetDirectory.of(List.of(LEAVING)),
+          TargetDirectory.of(List.of(LEAVING, OTHER_LEAVING)),
           RangeTable.empty(),
           0,
           members,
@@ -218,12 +227,31 @@
     tickUntilContained(successor.leaving, reporter);
   }
 
+  /** The loads of many targets keep the link of a large fleet's coordinator busy for seconds. */
+  @Test
+  void leavingTargetIsListedWhileTheLinkHasNoRoomForLoads() throws Exception {
+    Host coordinator = new Host("a", 1);
+    Host reporter = new Host("reporter");
+    coordinator.becomeCoordinator(NEW_TERM);
+    reporter.learn(coordinator.asCoordinator(NEW_TERM));
+    reporter.leaving.add(LEAVING.incarnation());
+    tickUntilContained(coordinator.leaving, reporter);
+    tickUntilContained(reporter.listed, coordinator);
+    reporter.leaving.add(OTHER_LEAVING.incarnation());
+
+    tickUntil(() -> coordinator.leaving.contains(OTHER_LEAVING.incarnation()), reporter);
+    tickUntil(() -> reporter.listed.contains(OTHER_LEAVING.incarnation()), coordinator);
+  }
+
   private void tickUntilContained(Set<TargetIncarnation> targets, Host sender) throws Exception {
+    tickUntil(() -> targets.contains(LEAVING.incarnation()), sender);
+  }
+
+  private void tickUntil(BooleanSupplier condition, Host sender) throws Exception {
     long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
-    while (!targets.contains(LEAVING.incarnation())) {
+    while (!condition.getAsBoolean()) {
       assertThat(System.nanoTime() - until < 0, is(true));
       run(sender.fleet::tick);
-      run(() -> {});
     }
   }
 
