Measure how the hosts learn of leaving targets

bin/experiment leaving plays a fleet some of whose targets begin to leave at once, in virtual time over the real LeavingTargets, LeavingReports, FleetAggregator, TargetDirectory and LinkBudget, with the encoded sizes of the messages, the store up and down, and hosts that ignore the statements, follow their own responses, or exchange them.

What callers saw without it: requests that reach targets long after these have stated that they leave.

--- a/experiment/src/main/java/org/cowslipmoor/experiment/Experiment.java
+++ b/experiment/src/main/java/org/cowslipmoor/experiment/Experiment.java
@@ -36,6 +36,7 @@
             InvariantsCommand.class,
             BalanceCommand.class,
             PlacementCommand.class,
+            LeavingCommand.class,
             OverloadCommand.class,
             FailuresCommand.class,
             CapacityCommand.class)
