Follow the style's rules in the tests of leaving targets

Checkstyle, which bin/test runs after the tests, rejected three names of test methods with two capital letters in a row and a variable declared too far from its use.

--- a/core/src/test/java/org/cowslipmoor/core/fleet/FleetAggregatorTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/fleet/FleetAggregatorTest.java
@@ -64,7 +64,7 @@
   }
 
   @Test
-  void leavingTargetIsListedForALimitedTimeAfterItsLatestReport() {
+  void leavingTargetIsListedForSomeTimeAfterItsLatestReport() {
     register(TARGET);
     report("x", 0, TARGET);
     report("y", SECOND, TARGET);
@@ -89,7 +89,7 @@
   }
 
   @Test
-  void leavingTargetIsUnlistedUntilAStateThatListsItIsSent() {
+  void leavingTargetIsUnlistedUntilStateThatListsItIsSent() {
     register(TARGET);
     assertThat(aggregator.hasUnlistedLeaving(), is(false));
     report("x", 0, TARGET, FORMER);
--- a/core/src/test/java/org/cowslipmoor/core/fleet/LeavingReportsTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/fleet/LeavingReportsTest.java
@@ -39,7 +39,7 @@
 
   /** The link may lose a report. */
   @Test
-  void targetIsReportedUntilAStateListsIt() {
+  void targetIsReportedUntilStateListsIt() {
     reports.onTerm(1);
     assertThat(pending(), is(ImmutableSet.of(TARGET)));
     reports.onState(stateListing(FORMER));
--- a/core/src/test/java/org/cowslipmoor/core/range/RangeOwnershipProperties.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/RangeOwnershipProperties.java
@@ -172,11 +172,11 @@
   }
 
   private static int violationsAfterStatements(long seed, boolean assumesReleases) {
-    SplittableRandom random = new SplittableRandom(seed);
     RangeSimulation simulation = new RangeSimulation(seed, 5, 0, 1);
     simulation.assumesReleases = assumesReleases;
     simulation.addHost();
     simulation.run(5_000 * RangeSimulation.NANOS_PER_MILLI);
+    SplittableRandom random = new SplittableRandom(seed);
     for (int i = 0; i < 3; i++) {
       stateLeaving(simulation, random);
       simulation.run(2_000 * RangeSimulation.NANOS_PER_MILLI);
