--- a/core/src/test/java/org/cowslipmoor/core/discovery/DrainSimulation.java
+++ b/core/src/test/java/org/cowslipmoor/core/discovery/DrainSimulation.java
@@ -120,7 +120,7 @@
       }
       case LOSE_ENTRY -> target.isRegistered = false;
       case RESTORE_ENTRY -> target.isRegistered = true;
-      case READ_STORE, READ_STORE_AGAIN -> readStore();
+      default -> readStore();
     }
   }
 
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
@@ -239,7 +239,7 @@
   }
 
   /** Returns the targets that a request of a caller may be sent to unless it goes to an owner. */
-  ImmutableList<DiscoveredTarget> candidates(String service, long now) {
+  ImmutableList<DiscoveredTarget> targetsFor(String service, long now) {
     return drainDeadlines.candidates(view.directory(), service, now);
   }
 
@@ -305,15 +305,15 @@
    * @param source how the host learnt it, for the log
    */
   public void onLeaving(TargetIncarnation target, String source, long now) {
-    onLeaving(target, source, null, now);
+    recordLeaving(target, source, null, now);
   }
 
   /** Records that a response states that its target is leaving. */
   void onLeavingResponse(DiscoveredTarget target, String requestId, long now) {
-    onLeaving(target.incarnation(), "response", requestId, now);
+    recordLeaving(target.incarnation(), "response", requestId, now);
   }
 
-  private void onLeaving(
+  private void recordLeaving(
       TargetIncarnation target, String source, @Nullable String requestId, long now) {
     if (!leaving.onLeaving(target, now)) {
       return;
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
@@ -267,7 +267,7 @@
     }
     return gateway
         .loadBalancer()
-        .assign(gateway.candidates(service, now), triedTargets, requirements, now);
+        .assign(gateway.targetsFor(service, now), triedTargets, requirements, now);
   }
 
   /**
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/StatementOfLeavingIgnoredTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/StatementOfLeavingIgnoredTest.java
@@ -129,7 +129,7 @@
   void requestThatIsNotWrittenInTimeIsRejectedAsNotRun() throws Exception {
     AtomicLong writeAt = new AtomicLong(System.nanoTime());
     headerCodec = new SlowHeaderCodec(writeAt);
-    ScriptedTarget t = target("t", StatementOfLeavingIgnoredTest::leaving);
+    final ScriptedTarget t = target("t", StatementOfLeavingIgnoredTest::leaving);
     WebClient client = start(view("sheets", RangeTable.empty()));
     send(client, HttpMethod.POST, "/once/a", "body");
 
