Test that a target's statement of leaving cuts no response

What callers would see if it did: an order that is under way at a target ends without its response once another response of that target states that it is leaving and its idle connections are closed. The new test keeps one response back until then.

--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/StatementOfLeavingIgnoredTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/StatementOfLeavingIgnoredTest.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
@@ -107,6 +108,26 @@
     assertThat(t.disconnected.poll(3, TimeUnit.SECONDS), is("r-1"));
   }
 
+  @Test
+  void responseInProgressIsNotCut() throws Exception {
+    CompletableFuture<String> slow = new CompletableFuture<>();
+    ScriptedTarget t = target("t", id -> id.equals("slow") ? slow.join() : leaving(id));
+    target("u", ScriptedTarget.ok("stays"));
+    WebClient client = start(viewWithRemote());
+    final CompletableFuture<AggregatedHttpResponse> response =
+        CompletableFuture.supplyAsync(
+            () -> send(client, HttpMethod.POST, "/once/a", "body", "request-id", "slow"));
+    assertThat(t.received.poll(3, TimeUnit.SECONDS), is("slow"));
+    for (int i = 0; i < 200 && t.requests.size() == 1; i++) {
+      send(client, HttpMethod.GET, "/safe/a", "");
+    }
+    assertThat(t.disconnected.poll(3, TimeUnit.SECONDS), is("r-1"));
+
+    slow.complete(ScriptedTarget.response("200 OK", "slow", "whole"));
+
+    assertThat(response.join().contentUtf8(), is("whole"));
+  }
+
   @Test
   void onlyTargetServesUntilItsDeadline() throws Exception {
     ScriptedTarget t = target("t", StatementOfLeavingIgnoredTest::leaving);
