--- a/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnections.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnections.java
@@ -105,6 +105,14 @@
     return exchange;
   }
 
+  /** Starts an exchange on a new connection, where no response to an earlier request can arrive. */
+  public Exchange startOnNewConnection(
+      String address, HttpRequest head, ExchangeListener listener) {
+    Exchange exchange = new Exchange(head, listener, null);
+    connect(address, exchange);
+    return exchange;
+  }
+
   /** Closes the idle connections to an address. */
   public void closeIdle(String address) {
     Deque<HttpConnection> connections = idle.remove(address);
