--- a/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnections.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnections.java
@@ -105,9 +105,16 @@
     return exchange;
   }
 
-  /** Starts an exchange on a new connection, where no response to an earlier request can arrive. */
+  /**
+   * Starts an exchange on a new connection, where no response to an earlier request can arrive. If
+   * several connections are idle, the new one replaces the one that has been idle the longest.
+   */
   public Exchange startOnNewConnection(
       String address, HttpRequest head, ExchangeListener listener) {
+    Deque<HttpConnection> connections = idle.get(address);
+    if (connections != null && connections.size() > 1) {
+      connections.removeFirst().close();
+    }
     Exchange exchange = new Exchange(head, listener, null);
     connect(address, exchange);
     return exchange;
