--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
@@ -21,7 +21,6 @@
 import org.cowslipmoor.core.discovery.TargetIncarnation;
 import org.cowslipmoor.core.fleet.FleetSize;
 import org.cowslipmoor.core.fleet.FleetState;
-import org.cowslipmoor.core.limit.LogLimit;
 import org.cowslipmoor.core.limit.MemoryBudget;
 import org.cowslipmoor.core.range.KeyCounts;
 import org.cowslipmoor.core.range.RangeEntry;
@@ -46,11 +45,6 @@
   /** Memory that the bodies of requests may occupy together. */
   private static final long MAX_BODY_MEMORY_BYTES = 24 << 20;
 
-  /** Maximum number of log lines about targets that are leaving, in {@link #LOG_PERIOD_NANOS}. */
-  private static final int MAX_LEAVING_LINES = 40;
-
-  private static final long LOG_PERIOD_NANOS = 1_000_000_000L;
-
   private final HttpConnections connections;
   private final HeaderCodec headerCodec;
   private final TargetLoadBalancer loadBalancer;
@@ -63,8 +57,6 @@
   private final RetryCounts retryCounts = new RetryCounts(System.nanoTime());
   private final LeavingTargets leaving = LeavingTargets.create();
   private final DrainDeadlines drainDeadlines;
-  private final LogLimit leavingLog =
-      LogLimit.create(MAX_LEAVING_LINES, LOG_PERIOD_NANOS, System.nanoTime());
   private final GatewayLog log = new GatewayLog(System.nanoTime());
   private final CallerConnections callers = new CallerConnections();
   private final MemoryBudget bodyMemory = MemoryBudget.create(MAX_BODY_MEMORY_BYTES);
@@ -302,36 +294,32 @@
   }
 
   /**
-   * Records that a target has stated that it is leaving; has no effect if this is known already.
+   * Records that targets have stated that they are leaving; has no effect on those that are known.
    *
    * @param source how the host learnt it, for the log
    */
-  public void onLeaving(TargetIncarnation target, String source, long now) {
-    recordLeaving(target, source, null, now);
+  public void onLeaving(Set<TargetIncarnation> targets, String source, long now) {
+    recordLeaving(targets, source, null, now);
   }
 
   /** Records that a response states that its target is leaving. */
   void onLeavingResponse(DiscoveredTarget target, String requestId, long now) {
-    recordLeaving(target.incarnation(), "response", requestId, now);
+    recordLeaving(ImmutableSet.of(target.incarnation()), "response", requestId, now);
   }
 
   private void recordLeaving(
-      TargetIncarnation target, String source, @Nullable String requestId, long now) {
-    if (!leaving.onLeaving(target, now)) {
-      return;
+      Set<TargetIncarnation> targets, String source, @Nullable String requestId, long now) {
+    boolean isAnyNew = false;
+    for (TargetIncarnation target : targets) {
+      if (leaving.onLeaving(target, now)) {
+        isAnyNew = true;
+        count(GatewayMetric.LEAVING);
+        log.onLeaving(target, source, requestId, storeState(target), now);
+      }
     }
-    updateView();
-    closeUnusedConnections(now);
-    count(GatewayMetric.LEAVING);
-    if (leavingLog.tryAcquire(now)) {
-      Logger.info(
-          "event=leaving target={} life={} source={} request={} store_state={} dropped_lines={}",
-          target.id(),
-          target.startedAt(),
-          source,
-          requestId,
-          storeState(target),
-          leavingLog.drainSuppressed());
+    if (isAnyNew) {
+      updateView();
+      closeUnusedConnections(now);
     }
   }
 
@@ -349,17 +337,8 @@
     long age = now - learntAt.getAsLong();
     count(GatewayMetric.SENT_TO_LEAVING);
     metrics.timer(GatewayMetric.SENT_TO_LEAVING_SECONDS.name()).update(age, TimeUnit.NANOSECONDS);
-    if (leavingLog.tryAcquire(now)) {
-      Logger.info(
-          "event=sent_to_leaving target={} life={} request={} store_state={} age_ms={}"
-              + " dropped_lines={}",
-          target.id(),
-          target.incarnation().startedAt(),
-          requestId,
-          storeState(target.incarnation()),
-          TimeUnit.NANOSECONDS.toMillis(age),
-          leavingLog.drainSuppressed());
-    }
+    log.onSentToLeaving(
+        target.incarnation(), requestId, storeState(target.incarnation()), age, now);
   }
 
   /** Returns what the store says of a target, for the log. */
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -1,6 +1,7 @@
 package org.cowslipmoor.daemon.gateway;
 
 import com.codahale.metrics.MetricRegistry;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.net.HostAndPort;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
@@ -138,8 +139,9 @@
             gateway::view,
             this::createReport,
             this::onFleetState,
-            (target, from) -> gateway.onLeaving(target, from, System.nanoTime()));
-    commands.onLeaving(target -> gateway.onLeaving(target, "command", System.nanoTime()));
+            (target, from) -> gateway.onLeaving(ImmutableSet.of(target), from, System.nanoTime()));
+    commands.onLeaving(
+        target -> gateway.onLeaving(ImmutableSet.of(target), "command", System.nanoTime()));
     metrics.registerGauge(
         GatewayMetric.COORDINATOR.name(), () -> coordination.isCoordinator() ? 1 : 0);
     metricsPage = new MetricsPage(metrics);
@@ -277,7 +279,7 @@
   private void onFleetState(FleetState state) {
     long now = System.nanoTime();
     gateway.onFleetState(state, now);
-    state.leaving().forEach(target -> gateway.onLeaving(target, "coordinator", now));
+    gateway.onLeaving(state.leaving(), "coordinator", now);
   }
 
   private void tick() {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayLog.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayLog.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
+import org.cowslipmoor.core.discovery.TargetIncarnation;
 import org.cowslipmoor.core.limit.LogLimit;
 import org.cowslipmoor.daemon.http.Exchange;
 import org.jspecify.annotations.Nullable;
@@ -19,12 +20,16 @@
   private final LogLimit surplusResponses;
   private final LogLimit abortedResponses;
   private final LogLimit exceptions;
+  private final LogLimit leaving;
+  private final LogLimit sentToLeaving;
 
   GatewayLog(long now) {
     rejections = LogLimit.create(MAX_LINES, PERIOD_NANOS, now);
     surplusResponses = LogLimit.create(MAX_LINES, PERIOD_NANOS, now);
     abortedResponses = LogLimit.create(MAX_LINES, PERIOD_NANOS, now);
     exceptions = LogLimit.create(MAX_LINES, PERIOD_NANOS, now);
+    leaving = LogLimit.create(MAX_LINES, PERIOD_NANOS, now);
+    sentToLeaving = LogLimit.create(MAX_LINES, PERIOD_NANOS, now);
   }
 
   /**
@@ -94,6 +99,64 @@
     }
   }
 
+  /**
+   * Logs that the host has learnt that a target is leaving.
+   *
+   * @param source how the host learnt it
+   * @param requestId id of the request whose response states it; null if it was another message
+   * @param storeState what the store says of the target
+   */
+  void onLeaving(
+      TargetIncarnation target,
+      String source,
+      @Nullable String requestId,
+      String storeState,
+      long now) {
+    if (leaving.tryAcquire(now)) {
+      Logger.info(
+          "event=leaving target={} life={} source={} request={} store_state={} suppressed={}",
+          target.id(),
+          target.startedAt(),
+          source,
+          requestId,
+          storeState,
+          leaving.drainSuppressed());
+    }
+  }
+
+  /**
+   * Logs that a request is sent to a target that is leaving.
+   *
+   * @param storeState what the store says of the target
+   * @param ageNanos time since the host learnt that the target is leaving
+   */
+  void onSentToLeaving(
+      TargetIncarnation target, String requestId, String storeState, long ageNanos, long now) {
+    if (sentToLeaving.tryAcquire(now)) {
+      Logger.info(
+          "event=sent_to_leaving target={} life={} request={} store_state={} age_ms={}"
+              + " suppressed={}",
+          target.id(),
+          target.startedAt(),
+          requestId,
+          storeState,
+          TimeUnit.NANOSECONDS.toMillis(ageNanos),
+          sentToLeaving.drainSuppressed());
+    }
+  }
+
+  /** Returns a task of the event loop that also logs the exception that it ends with. */
+  Runnable logged(Runnable task) {
+    return () -> {
+      try {
+        task.run();
+      } catch (RuntimeException e) {
+        onException(e, System.nanoTime());
+        throw e;
+      }
+    };
+  }
+
   /** Logs an exception that ended a request. */
   void onException(RuntimeException exception, long now) {
     if (exceptions.tryAcquire(now)) {
