Pass on no promise that a target has not stated

What callers could be told: that a request that must run once has not run, since a target responded with 503, 429 or 408 without stating so. Found by the review as another way to REFUSED; whether targets ever do this isn't known.

Change: for requests that run once at most such a response counts as a failure of the target: the caller gets 502, which promises nothing. Tasks of the event loop now log the exceptions that they end with, as the server's own report is off.

Evidence: UnstatedRejectionTest fails in its three cases without the change and passes now.

--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Attempt.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Map;
@@ -217,6 +218,11 @@
         return true;
       }
     }
+    if (!callerExchange.isRepeatable() && isPromise(head.status())) {
+      outcome = "failed with " + head.status().code() + ", not stating that it did not run";
+      startDiscarding();
+      return true;
+    }
     relay = new ResponseRelay(callerExchange.writer(), targetExchange());
     relay.writeHead(head);
     return true;
@@ -291,6 +297,14 @@
     callerExchange.onAttemptFailed(this);
   }
 
+  /** Returns whether a status promises a caller that its request has not run and never will. */
+  private static boolean isPromise(HttpResponseStatus status) {
+    return status.equals(HttpResponseStatus.REQUEST_TIMEOUT)
+        || status.equals(HttpResponseStatus.MISDIRECTED_REQUEST)
+        || status.equals(HttpResponseStatus.TOO_MANY_REQUESTS)
+        || status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
+  }
+
   private void logRejection(int status) {
     Exchange e = targetExchange();
     gateway.count(GatewayMetric.TARGET_REJECTIONS);
@@ -341,7 +355,7 @@
         .ctx()
         .eventLoop()
         .withoutContext()
-        .schedule(task, nanos, TimeUnit.NANOSECONDS);
+        .schedule(gateway.log().logged(task), nanos, TimeUnit.NANOSECONDS);
   }
 
   private void stopTimer() {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
@@ -171,7 +171,7 @@
     deadlineTimer =
         ctx.eventLoop()
             .withoutContext()
-            .schedule(this::onDeadline, timeoutMillis, TimeUnit.MILLISECONDS);
+            .schedule(gateway.log().logged(this::onDeadline), timeoutMillis, TimeUnit.MILLISECONDS);
     gateway.onFirstAttempt(service, startedAt);
     ServiceDescription description = configuration.services().get(service);
     if (description != null && description.keyed() && callerHead.key() != null) {
@@ -197,7 +197,9 @@
       ctx.eventLoop()
           .withoutContext()
           .schedule(
-              () -> assignTargetLater(LAG_DELAY_NANOS), LAG_DELAY_NANOS, TimeUnit.NANOSECONDS);
+              gateway.log().logged(() -> assignTargetLater(LAG_DELAY_NANOS)),
+              LAG_DELAY_NANOS,
+              TimeUnit.NANOSECONDS);
     } else {
       assignTarget();
     }
@@ -296,7 +298,9 @@
   }
 
   private void assignTargetLater(long delayNanos) {
-    ctx.eventLoop().withoutContext().schedule(this::assignTarget, delayNanos, TimeUnit.NANOSECONDS);
+    ctx.eventLoop()
+        .withoutContext()
+        .schedule(gateway.log().logged(this::assignTarget), delayNanos, TimeUnit.NANOSECONDS);
   }
 
   private void send(Placement placement) {
@@ -546,6 +550,11 @@
     return requestId;
   }
 
+  /** Returns whether the request may run more than once. */
+  boolean isRepeatable() {
+    return route().kind().isRepeatable();
+  }
+
   /** Returns the latency objective of the request in nanoseconds. */
   long objectiveNanos() {
     return objectiveAt - startedAt;
