Log no complete response as aborted

Cause: the writer's end is notified before the attempt reports its response as relayed, and took the path of a caller that leaves. Nothing but the new line told of it.

Change: a writer that ends without an error ends the exchange as complete. A counter cowslipmoor_answers_aborted_total counts what the lines tell.

Evidence: DuplicateRejectionTest#completeResponsesDoNotCountAsAborted fails without the change (counter 2 for two complete responses) and passes now, as do DisconnectedCallerTest and TruncatedResponseTest.

--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
@@ -429,6 +429,7 @@
 
   /** Ends the response to the caller so that it can't be mistaken for a complete one. */
   private void closeIncomplete(String reason) {
+    gateway.count(GatewayMetric.ANSWERS_ABORTED);
     gateway.log().onAbortedResponse(requestId, service, reason, System.nanoTime());
     writer.close(new IllegalStateException(reason));
   }
@@ -458,9 +459,12 @@
     if (ended) {
       return;
     }
-    if (error != null) {
-      gateway.count(GatewayMetric.CALLERS_GONE);
+    if (error == null) {
+      // The response is complete.
+      finish();
+      return;
     }
+    gateway.count(GatewayMetric.CALLERS_GONE);
     abort();
   }
 
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayMetric.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayMetric.java
@@ -5,6 +5,8 @@
   REQUESTS("cowslipmoor_requests_total", "Requests taken from callers."),
   ANSWERS("cowslipmoor_answers_total", "Answers of targets passed on to their end."),
   ANSWERS_CUT("cowslipmoor_answers_cut_total", "Answers that broke off on their way."),
+  ANSWERS_ABORTED(
+      "cowslipmoor_answers_aborted_total", "Requests that ended without a complete answer."),
   TARGET_REJECTIONS("cowslipmoor_target_rejections_total", "Requests that targets rejected."),
   SURPLUS_ANSWERS(
       "cowslipmoor_surplus_answers_total", "Answers of targets to no pending request, skipped."),
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/DuplicateRejectionTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/DuplicateRejectionTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.linecorp.armeria.client.WebClient;
@@ -88,6 +89,19 @@
     assertThat(page, containsString("\ncowslipmoor_surplus_answers_total 2\n"));
   }
 
+  @Test
+  void completeResponsesDoNotCountAsAborted() throws Exception {
+    target("t", ScriptedTarget.ok("ran"));
+    WebClient client = start(view("sheets", RangeTable.empty()));
+    sendOnce(client, "r-1");
+    sendOnce(client, "r-2");
+
+    String page = metrics.get("/metrics").aggregate().join().contentUtf8();
+
+    assertThat(page, containsString("\ncowslipmoor_answers_total 2\n"));
+    assertThat(page, not(containsString("\ncowslipmoor_answers_aborted_total ")));
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"request-id: r-1\r\n", "request-id: r-2\r\n", ""})
   void duplicateRejectionAfterResponseIsIgnored(String id) throws Exception {
