--- a/daemon/src/main/java/org/cowslipmoor/daemon/codec/MemberMessageCodec.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/codec/MemberMessageCodec.java
@@ -73,7 +73,15 @@
           Optional.of(
               new MemberMessage.Digest(
                   frame.getDigest().getDataCentre(), frame.getDigest().getConfigurationRevision()));
-      case HELLO, HEARTBEAT, HOST_REPORT, FLEET_STATE, STORE_NEWS, CONTENT_NOT_SET ->
+      case HELLO,
+          HEARTBEAT,
+          HOST_REPORT,
+          FLEET_STATE,
+          STORE_NEWS,
+          COLD_ALLOWANCE_REQUEST,
+          COLD_ALLOWANCE,
+          FORMER_ITEMS,
+          CONTENT_NOT_SET ->
           Optional.empty();
     };
   }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
@@ -2,22 +2,20 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
-import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Maps;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.cowslipmoor.core.admission.Placement;
+import org.cowslipmoor.core.admission.RequestRequirements;
 import org.cowslipmoor.core.admission.TargetLoadBalancer;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
-import org.cowslipmoor.core.discovery.DrainDeadlines;
-import org.cowslipmoor.core.discovery.LeavingTargets;
 import org.cowslipmoor.core.discovery.TargetIncarnation;
 import org.cowslipmoor.core.fleet.FleetSize;
 import org.cowslipmoor.core.fleet.FleetState;
@@ -29,6 +27,7 @@
 import org.cowslipmoor.core.routing.RoutingConfiguration;
 import org.cowslipmoor.core.routing.ServiceDescription;
 import org.cowslipmoor.core.routing.SplitSelector;
+import org.cowslipmoor.core.selection.TargetSelector;
 import org.cowslipmoor.daemon.coordination.StoreView;
 import org.cowslipmoor.daemon.http.HttpConnections;
 import org.jspecify.annotations.Nullable;
@@ -55,8 +54,7 @@
   private final FleetSize fleetSize = FleetSize.create(System.nanoTime());
   private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
   private final RetryCounts retryCounts = new RetryCounts(System.nanoTime());
-  private final LeavingTargets leaving = LeavingTargets.create();
-  private final DrainDeadlines drainDeadlines;
+  private final TargetSelector selector;
   private final GatewayLog log = new GatewayLog(System.nanoTime());
   private final CallerConnections callers = new CallerConnections();
   private final MemoryBudget bodyMemory = MemoryBudget.create(MAX_BODY_MEMORY_BYTES);
@@ -90,7 +88,7 @@
       long drainLimitNanos,
       RandomGenerator random,
       MetricRegistry metrics) {
-    this.drainDeadlines = DrainDeadlines.create(leaving, drainLimitNanos);
+    this.selector = TargetSelector.create(loadBalancer, drainLimitNanos);
     this.connections = connections;
     this.headerCodec = headerCodec;
     this.loadBalancer = loadBalancer;
@@ -115,29 +113,26 @@
 
   /** Applies a new limit on the use of targets that are leaving. */
   public void onDrainLimit(long limitNanos) {
-    drainDeadlines.onLimit(limitNanos);
+    selector.onDrainLimit(limitNanos);
   }
 
   /** Applies a new view of the store. */
   public void onView(StoreView newView, long now) {
-    Map<String, DiscoveredTarget> all = newView.directory().all();
-    leaving.onTargets(all.values(), now);
-    drainDeadlines.onTargets(all.values(), now);
+    selector.onTargets(newView.directory(), now);
     storeView = newView;
     updateView();
-    loadBalancer.retain(all.keySet());
     fleetSize.onCount(newView.members().size(), now);
     updateConnectionLimits(now);
     closeUnusedConnections(now);
   }
 
   private void updateView() {
-    view = storeView.withDirectory(storeView.directory().withDraining(leaving.targets()));
+    view = storeView.withDirectory(selector.directory());
   }
 
   /** Records the time at which the view of the store was last known to be current. */
   public void onStoreConfirmed(long at) {
-    drainDeadlines.onConfirmed(at);
+    selector.onConfirmed(at);
   }
 
   /** Applies the aggregated state of all hosts. */
@@ -232,28 +227,35 @@
     return inProgress;
   }
 
-  /** Returns the targets that a request of a caller may be sent to unless it goes to an owner. */
-  ImmutableList<DiscoveredTarget> targetsFor(String service, long now) {
-    return drainDeadlines.candidates(view.directory(), service, now);
+  /**
+   * Assigns a request without a key to a target of its service.
+   *
+   * @param excluded ids of targets that must not be used
+   */
+  Placement assign(
+      String service, Set<String> excluded, RequestRequirements requirements, long now) {
+    return selector.assign(service, excluded, requirements, now);
   }
 
   /**
-   * Returns the owner of a key; empty while the key has no owner, is being transferred, or its
-   * owner has drained for too long.
+   * Assigns a request to the owner of its key.
+   *
+   * @return {@link Placement.NoTarget} while the key has no owner, is being transferred, or its
+   *     owner has left
    */
-  Optional<DiscoveredTarget> owner(String service, int key, long now) {
-    return isMoving(service, key)
-        ? Optional.empty()
-        : registeredOwner(service, key)
-            .flatMap(view.directory()::find)
-            .filter(t -> drainDeadlines.isUsable(t, now));
+  Placement assignToOwner(String service, int key, RequestRequirements requirements, long now) {
+    Optional<TargetIncarnation> owner =
+        isMoving(service, key) ? Optional.empty() : registeredOwner(service, key);
+    return owner.isEmpty()
+        ? new Placement.NoTarget()
+        : selector.assignToOwner(owner.get(), requirements, now);
   }
 
   /** Returns whether a key's owner has left or drained for too long, and has no successor yet. */
   boolean hasOwnerLeft(String service, int key, long now) {
     return !isMoving(service, key)
         && registeredOwner(service, key)
-            .filter(owner -> drainDeadlines.hasPassed(owner, now))
+            .filter(owner -> selector.hasOwnerLeft(owner, now))
             .isPresent();
   }
 
@@ -267,7 +269,7 @@
 
   /** Returns whether a request may still be written to a target that was chosen for it. */
   boolean mayReceive(DiscoveredTarget target, long now) {
-    return !drainDeadlines.hasPassed(target.incarnation(), now);
+    return selector.mayReceive(target, now);
   }
 
   /**
@@ -275,22 +277,15 @@
    * does has the same address.
    */
   public void closeUnusedConnections(long now) {
-    Set<String> unused = new HashSet<>();
-    Set<String> used = new HashSet<>();
-    for (DiscoveredTarget t : view.directory().all().values()) {
-      (isSelectable(t, now) ? used : unused).add(t.address());
-    }
-    unused.removeAll(used);
-    unused.forEach(connections::closeIdle);
-  }
-
-  private boolean isSelectable(DiscoveredTarget target, long now) {
     RoutingConfiguration configuration = view.configuration();
-    ServiceDescription service =
-        configuration == null ? null : configuration.services().get(target.service());
-    boolean isLastResort =
-        (service != null && service.keyed()) || view.directory().usable(target.service()).isEmpty();
-    return !target.draining() || (isLastResort && drainDeadlines.isUsable(target, now));
+    ImmutableSet<String> keyedServices =
+        configuration == null
+            ? ImmutableSet.of()
+            : configuration.services().values().stream()
+                .filter(ServiceDescription::keyed)
+                .map(ServiceDescription::name)
+                .collect(ImmutableSet.toImmutableSet());
+    selector.unusedAddresses(keyedServices, now).forEach(connections::closeIdle);
   }
 
   /**
@@ -311,7 +306,7 @@
       Set<TargetIncarnation> targets, String source, @Nullable String requestId, long now) {
     boolean isAnyNew = false;
     for (TargetIncarnation target : targets) {
-      if (leaving.onLeaving(target, now)) {
+      if (selector.onLeaving(target, now)) {
         isAnyNew = true;
         count(GatewayMetric.LEAVING);
         log.onLeaving(target, source, requestId, storeState(target), now);
@@ -325,12 +320,12 @@
 
   /** Returns the targets that have stated that they are leaving. */
   public ImmutableSet<TargetIncarnation> leavingTargets() {
-    return leaving.targets();
+    return selector.leavingTargets();
   }
 
   /** Records that a request is about to be written to a connection. */
   void onSending(DiscoveredTarget target, String requestId, long now) {
-    OptionalLong learntAt = leaving.learntAt(target.incarnation());
+    OptionalLong learntAt = selector.leavingSince(target.incarnation());
     if (learntAt.isEmpty()) {
       return;
     }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
@@ -262,14 +262,9 @@
       if (misdirections >= MAX_MISDIRECTIONS && tableVersion() == misdirectedTableVersion) {
         return new Placement.NoTarget();
       }
-      Optional<DiscoveredTarget> owner = gateway.owner(service, callerHead.key(), now);
-      return owner.isPresent()
-          ? gateway.loadBalancer().admit(owner.get(), requirements, now)
-          : new Placement.NoTarget();
-    }
-    return gateway
-        .loadBalancer()
-        .assign(gateway.targetsFor(service, now), triedTargets, requirements, now);
+      return gateway.assignToOwner(service, callerHead.key(), requirements, now);
+    }
+    return gateway.assign(service, triedTargets, requirements, now);
   }
 
   /**
--- a/daemon/src/main/java/org/cowslipmoor/daemon/settings/GatewaySettings.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/settings/GatewaySettings.java
@@ -4,6 +4,7 @@
 
 import com.google.common.net.HostAndPort;
 import com.google.common.net.InetAddresses;
+import org.cowslipmoor.core.discovery.TargetLimits;
 
 /**
  * The settings of a host. {@link HostSetting} states when a changed one takes effect.
@@ -29,6 +30,7 @@
  * @param retryWindowMillis the length of a window in milliseconds
  * @param linkBytesPerSecond the bandwidth of the host's network link in bytes per second
  * @param cores the CPU capacity of the host, in cores
+ * @param targetLimits the limits on the use of targets
  */
 public record GatewaySettings(
     String host,
@@ -48,7 +50,8 @@
     double retrySlack,
     long retryWindowMillis,
     double linkBytesPerSecond,
-    double cores) {
+    double cores,
+    TargetLimits targetLimits) {
 
   /**
    * Creates the settings and checks the addresses and the ranges of the numbers.
@@ -79,6 +82,48 @@
     checkArgument(cores > 0, "cores must be above 0, but is %s", cores);
   }
 
+  /** Creates the settings of a deployment that sets no limits on the use of targets. */
+  public GatewaySettings(
+      String host,
+      String dataCentre,
+      String callerAddress,
+      String readyAddress,
+      String peerAddress,
+      String readyPath,
+      String metricsAddress,
+      String storeAddress,
+      long leaseMillis,
+      long maxHoldMillis,
+      long configurationLimitMillis,
+      long drainMillis,
+      long graceMillis,
+      double retryRatio,
+      double retrySlack,
+      long retryWindowMillis,
+      double linkBytesPerSecond,
+      double cores) {
+    this(
+        host,
+        dataCentre,
+        callerAddress,
+        readyAddress,
+        peerAddress,
+        readyPath,
+        metricsAddress,
+        storeAddress,
+        leaseMillis,
+        maxHoldMillis,
+        configurationLimitMillis,
+        drainMillis,
+        graceMillis,
+        retryRatio,
+        retrySlack,
+        retryWindowMillis,
+        linkBytesPerSecond,
+        cores,
+        TargetLimits.NONE);
+  }
+
   /**
    * Returns these settings with the values of newer ones where a change takes effect without a
    * restart.
@@ -102,7 +147,8 @@
         newer.retrySlack,
         newer.retryWindowMillis,
         linkBytesPerSecond,
-        cores);
+        cores,
+        newer.targetLimits);
   }
 
   private static void checkAddress(String name, String address) {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/settings/HostSetting.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/settings/HostSetting.java
@@ -32,7 +32,10 @@
   RETRY_SLACK(Effect.IMMEDIATELY, GatewaySettings::retrySlack),
   RETRY_WINDOW_MILLIS(Effect.IMMEDIATELY, GatewaySettings::retryWindowMillis),
   LINK_BYTES_PER_SECOND(Effect.AFTER_RESTART, GatewaySettings::linkBytesPerSecond),
-  CORES(Effect.AFTER_RESTART, GatewaySettings::cores);
+  CORES(Effect.AFTER_RESTART, GatewaySettings::cores),
+  COLD_RATE_FACTOR(Effect.IMMEDIATELY, s -> s.targetLimits().coldRateFactor()),
+  COLD_RATE_SLACK(Effect.IMMEDIATELY, s -> s.targetLimits().coldRateSlack()),
+  EVACUATION_MILLIS(Effect.IMMEDIATELY, s -> s.targetLimits().evacuationMillis());
 
   private final Effect effect;
 
