Count the limits on targets as settings of their own

SettingsMonitorTest compares the declared settings with the components of GatewaySettings. The limits on targets are one component that holds three settings, so the test counts these three: as strict as before, since a setting of either record that isn't declared still fails it. Not run yet on this commit.

--- a/daemon/src/test/java/org/cowslipmoor/daemon/settings/SettingsMonitorTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/settings/SettingsMonitorTest.java
@@ -7,6 +7,7 @@
 import static org.hamcrest.Matchers.is;
 
 import java.nio.charset.StandardCharsets;
+import org.cowslipmoor.core.discovery.TargetLimits;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -138,6 +139,11 @@
 
   @Test
   void everySettingIsDeclaredOnce() {
-    assertThat(HostSetting.values().length, is(GatewaySettings.class.getRecordComponents().length));
+    // The limits on targets are one component of the settings, and a setting each.
+    int settings =
+        GatewaySettings.class.getRecordComponents().length
+            - 1
+            + TargetLimits.class.getRecordComponents().length;
+    assertThat(HostSetting.values().length, is(settings));
   }
 }
