Fail attempts whose response can't be passed on

Cause: the HTTP decoder accepts any integer as a status and takes each further word as the reason phrase. Status lines with 000, 0, 099, 2 00 and +20 reached the caller as an answer, 0200 as 200; 600, 999 and 1000 reached callers whose requests may not be retried. A command's response with 0409 counted as 409, so that a grant counted as not carried out. The versions HTTP/0.9, HTTP/2.0 and http/1.1 were accepted.

Change: the decoder of responses accepts HTTP/1.x and a status of three digits from 100 to 599. Any other response is malformed: its connection is closed, the attempt fails and may be retried, otherwise the caller gets 502. Calls to the store and commands use the same decoder; they get no response, so that their outcome is unknown. A head that the caller's side refuses now fails the attempt instead of aborting a response that has not begun.

Header names that are no tokens and control characters in values already failed the attempt.

Conclusion: the rule lives in ResponseDecoder, which all responses pass.

--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Attempt.java
@@ -223,8 +223,10 @@
       startDiscarding();
       return true;
     }
-    relay = new ResponseRelay(callerExchange.writer(), targetExchange());
-    relay.writeHead(head);
+    ResponseRelay r = new ResponseRelay(callerExchange.writer(), targetExchange());
+    r.writeHead(head);
+    // Set only now: a head that can't be written fails the attempt, which may be retried.
+    relay = r;
     return true;
   }
 
--- a/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnection.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/HttpConnection.java
@@ -231,6 +231,13 @@
 
   private void onHead(HttpResponse head) {
     Exchange exchange = current;
+    if (!head.decoderResult().isSuccess()) {
+      Logger.debug(
+          "connection {} to {} delivered a malformed response: {}",
+          id(),
+          address,
+          head.decoderResult().cause().toString());
+    }
     if (exchange == null
         || !head.decoderResult().isSuccess()
         || head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/http/ResponseDecoder.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/http/ResponseDecoder.java
@@ -1,5 +1,7 @@
 package org.cowslipmoor.daemon.http;
 
+import static com.google.common.base.Preconditions.checkArgument;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
@@ -7,11 +9,23 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.util.List;
+import java.util.regex.Pattern;
 
-/** Decodes the responses on a connection while the connection expects one. */
+/**
+ * Decodes the responses on a connection while the connection expects one. A response whose status
+ * line can't be passed on to a caller is malformed. The base class also refuses header names that
+ * are no tokens and header values with control characters. The reason phrase is not passed on and
+ * not checked here.
+ */
 final class ResponseDecoder extends HttpResponseDecoder {
   private static final int MAX_HEAD_BYTES = 65_536;
 
+  /** The base class accepts any integer, so that {@code 2 00} would be status 2. */
+  private static final Pattern STATUS = Pattern.compile("[1-5][0-9]{2}");
+
+  /** Other major versions have another message format; a higher minor version does not. */
+  private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[0-9]");
+
   private final HttpConnection connection;
   private boolean inputEnded;
 
@@ -33,6 +47,16 @@
     connection.onDecoded(before - in.readableBytes());
   }
 
+  @Override
+  protected HttpMessage createMessage(String[] initialLine) {
+    // An exception marks the message as malformed.
+    checkArgument(VERSION.matcher(initialLine[0]).matches(), "the version is not HTTP/1.x");
+    checkArgument(
+        STATUS.matcher(initialLine[1]).matches(),
+        "the status is not a number of three digits from 100 to 599");
+    return super.createMessage(initialLine);
+  }
+
   @Override
   public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
     inputEnded |= event instanceof ChannelInputShutdownEvent;
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/ScriptedTarget.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/ScriptedTarget.java
@@ -212,7 +212,7 @@
 
   private static void write(Socket socket, String response) throws IOException {
     for (String piece : Splitter.on(PIECE_MARKER).omitEmptyStrings().split(response)) {
-      socket.getOutputStream().write(piece.getBytes(StandardCharsets.US_ASCII));
+      socket.getOutputStream().write(piece.getBytes(StandardCharsets.ISO_8859_1));
     }
   }
 
