Read the operator's evacuations from the store, and show them

Cause: the keys op/evacuate/ZONE were not read. Metrics and log lines tell what is evacuated, since when, which keys are still owned there and which requests were refused for it. FixedStore of the tests becomes a class, so that a store with a changing view can extend it.

--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/StoreView.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/StoreView.java
@@ -20,6 +20,7 @@
  * @param coordinator the host that is the coordinator; null when there is none
  * @param isLoaded whether the store has been read
  * @param revision the newest revision of the store that is cached
+ * @param evacuated the data centres that the operator evacuates
  */
 public record StoreView(
     @Nullable RoutingConfiguration configuration,
@@ -30,7 +31,32 @@
     long membersRevision,
     @Nullable Coordinator coordinator,
     boolean isLoaded,
-    long revision) {
+    long revision,
+    ImmutableSet<String> evacuated) {
+
+  /** Creates the view of a store in which no data centre is evacuated. */
+  public StoreView(
+      @Nullable RoutingConfiguration configuration,
+      TargetDirectory directory,
+      RangeTable table,
+      long tableRevision,
+      MemberList memberList,
+      long membersRevision,
+      @Nullable Coordinator coordinator,
+      boolean isLoaded,
+      long revision) {
+    this(
+        configuration,
+        directory,
+        table,
+        tableRevision,
+        memberList,
+        membersRevision,
+        coordinator,
+        isLoaded,
+        revision,
+        ImmutableSet.of());
+  }
 
   /**
    * The host that is the coordinator.
@@ -57,7 +83,23 @@
         membersRevision,
         coordinator,
         isLoaded,
-        revision);
+        revision,
+        evacuated);
+  }
+
+  /** Returns this view with other evacuated data centres. */
+  public StoreView withEvacuated(ImmutableSet<String> newEvacuated) {
+    return new StoreView(
+        configuration,
+        directory,
+        table,
+        tableRevision,
+        memberList,
+        membersRevision,
+        coordinator,
+        isLoaded,
+        revision,
+        newEvacuated);
   }
 
   /** Returns the view of a host that has not read the store. */
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
@@ -17,6 +17,7 @@
 import org.cowslipmoor.core.admission.TargetLoadBalancer;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.discovery.TargetIncarnation;
+import org.cowslipmoor.core.discovery.TargetLimits;
 import org.cowslipmoor.core.fleet.FleetSize;
 import org.cowslipmoor.core.fleet.FleetState;
 import org.cowslipmoor.core.limit.MemoryBudget;
@@ -63,7 +64,7 @@
   /** The store's view as it was read. */
   private StoreView storeView = StoreView.unknown();
 
-  /** That view, in which the targets that are leaving are draining. */
+  /** That view, in which the targets that are leaving or evacuated are draining. */
   private StoreView view = storeView;
 
   private FleetState fleet = FleetState.UNKNOWN;
@@ -103,6 +104,9 @@
     gauge(GatewayMetric.CONFIGURATION, this::configurationVersion);
     gauge(GatewayMetric.BODY_MEMORY, bodyMemory::reservedBytes);
     gauge(GatewayMetric.UNEXPECTED_BYTES, connections::unexpectedBytesCount);
+    gauge(GatewayMetric.EVACUATIONS, () -> selector.evacuations().inForce().keySet().size());
+    gauge(GatewayMetric.EVACUATION_SECONDS, () -> evacuationSeconds(System.nanoTime()));
+    gauge(GatewayMetric.EVACUATED_KEYS, this::evacuatedKeys);
   }
 
   /** Applies new limits on retries, from the next request on. */
@@ -116,9 +120,21 @@
     selector.onDrainLimit(limitNanos);
   }
 
+  /** Applies new limits on the use of targets. */
+  public void onTargetLimits(TargetLimits limits, long now) {
+    ImmutableSet<String> before = selector.evacuations().inForce().keySet();
+    selector.onTargetLimits(limits, now);
+    updateView();
+    log.onEvacuations(before, selector.evacuations(), view.directory(), now);
+    closeUnusedConnections(now);
+  }
+
   /** Applies a new view of the store. */
   public void onView(StoreView newView, long now) {
+    ImmutableSet<String> before = selector.evacuations().inForce().keySet();
+    selector.onEvacuated(newView.evacuated(), newView.isLoaded(), now);
     selector.onTargets(newView.directory(), now);
+    log.onEvacuations(before, selector.evacuations(), newView.directory(), now);
     storeView = newView;
     updateView();
     fleetSize.onCount(newView.members().size(), now);
@@ -251,7 +267,7 @@
         : selector.assignToOwner(owner.get(), requirements, now);
   }
 
-  /** Returns whether a key's owner has left or drained for too long, and has no successor yet. */
+  /** Returns whether a key's owner may not be used any more, and has no successor yet. */
   boolean hasOwnerLeft(String service, int key, long now) {
     return !isMoving(service, key)
         && registeredOwner(service, key)
@@ -259,6 +275,49 @@
             .isPresent();
   }
 
+  /**
+   * Counts a rejected request if no target could be chosen because of an evacuation.
+   *
+   * @param key the request's key; null if it needs no owner
+   */
+  void countIfEvacuated(String service, @Nullable Integer key, long now) {
+    boolean isEvacuated =
+        key == null
+            ? selector.isServiceEvacuated(service, now)
+            : registeredOwner(service, key)
+                .filter(owner -> selector.isOwnerEvacuated(owner, now))
+                .isPresent();
+    if (isEvacuated) {
+      count(GatewayMetric.EVACUATION_REFUSALS);
+    }
+  }
+
+  /** Returns the time since this host learnt of the oldest evacuation in force; 0 without one. */
+  private long evacuationSeconds(long now) {
+    return selector.evacuations().inForce().values().stream()
+        .mapToLong(learntAt -> TimeUnit.NANOSECONDS.toSeconds(now - learntAt))
+        .max()
+        .orElse(0);
+  }
+
+  /** Returns the number of keys that are owned by targets in evacuated data centres. */
+  private long evacuatedKeys() {
+    ImmutableSet<String> evacuated = selector.evacuations().inForce().keySet();
+    if (evacuated.isEmpty()) {
+      return 0;
+    }
+    StoreView v = view;
+    return v.table().entries().stream()
+        .filter(
+            e ->
+                v.directory()
+                    .find(e.owner())
+                    .filter(t -> evacuated.contains(t.dataCentre()))
+                    .isPresent())
+        .mapToLong(e -> e.range().size())
+        .sum();
+  }
+
   private Optional<TargetIncarnation> registeredOwner(String service, int key) {
     return view.table().find(service, key).map(RangeEntry::owner);
   }
@@ -367,7 +426,7 @@
     return stopping;
   }
 
-  /** Returns the view of the store, in which the targets that are leaving are draining. */
+  /** Returns the view of the store, in which targets that are leaving or evacuated are draining. */
   public StoreView view() {
     return view;
   }
@@ -409,9 +468,12 @@
     return allowed;
   }
 
-  /** Logs the retry counts if a period has ended. */
+  /** Applies what changes with time alone, and logs the retry counts if a period has ended. */
   public void tick(long now) {
     retryCounts.tick(now);
+    if (selector.tick(now)) {
+      updateView();
+    }
   }
 
   private SharedRetryBudget budget(String service, long now) {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
@@ -285,6 +285,7 @@
             && callerHead.key() != null
             && gateway.hasOwnerLeft(service, callerHead.key(), now);
     if (hasOwnerLeft || now - ownerWaitUntil >= 0) {
+      countIfEvacuated(now);
       reject(
           ResultCode.OWNER_UNKNOWN, "the key has no owner at present", NO_TARGET_RETRY_AFTER_NANOS);
     } else {
@@ -308,17 +309,23 @@
       }
       case Placement.Reject p ->
           reject(ResultCode.OVERLOADED, "no target can answer in time", p.retryAfterNanos());
-      case Placement.NoTarget p ->
-          reject(
-              ResultCode.NO_TARGET,
-              "the service has no usable target",
-              NO_TARGET_RETRY_AFTER_NANOS);
+      case Placement.NoTarget p -> {
+        countIfEvacuated(System.nanoTime());
+        reject(
+            ResultCode.NO_TARGET, "the service has no usable target", NO_TARGET_RETRY_AFTER_NANOS);
+      }
     }
   }
 
+  private void countIfEvacuated(long now) {
+    RequestHead callerHead = head;
+    Integer key = callerHead != null && isKeyed() ? callerHead.key() : null;
+    gateway.countIfEvacuated(service, key, now);
+  }
+
   /**
-   * Handles an attempt whose request was not written, because the target's time to leave passed
-   * after it had been chosen: places the request anew, which is no retry.
+   * Handles an attempt whose request was not written, because the time until which the target may
+   * be used passed after it had been chosen: places the request anew, which is no retry.
    */
   void onTargetLeft(DiscoveredTarget target) {
     attempt = null;
@@ -327,6 +334,7 @@
     if (body().isHeld()) {
       assignTargetLater(0);
     } else {
+      countIfEvacuated(System.nanoTime());
       reject(
           ResultCode.NO_TARGET,
           "the target left before the request was sent",
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -116,6 +116,7 @@
             TimeUnit.MILLISECONDS.toNanos(settings.drainMillis()),
             random,
             metrics);
+    gateway.onTargetLimits(settings.targetLimits(), System.nanoTime());
     coordination =
         new Coordination(
             store,
@@ -216,6 +217,7 @@
     settings = newSettings;
     gateway.onRetryLimits(retryLimits(newSettings));
     gateway.onDrainLimit(TimeUnit.MILLISECONDS.toNanos(newSettings.drainMillis()));
+    gateway.onTargetLimits(newSettings.targetLimits(), System.nanoTime());
   }
 
   private static SharedRetryBudget.Limits retryLimits(GatewaySettings settings) {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayLog.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayLog.java
@@ -1,7 +1,12 @@
 package org.cowslipmoor.daemon.gateway;
 
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
+import org.cowslipmoor.core.discovery.Evacuations;
+import org.cowslipmoor.core.discovery.TargetDirectory;
 import org.cowslipmoor.core.discovery.TargetIncarnation;
 import org.cowslipmoor.core.limit.LogLimit;
 import org.cowslipmoor.daemon.http.Exchange;
@@ -145,6 +150,35 @@
     }
   }
 
+  /**
+   * Logs the evacuations that have begun or ended.
+   *
+   * @param before the data centres that were evacuated before
+   * @param evacuations the evacuations as they are now
+   */
+  void onEvacuations(
+      ImmutableSet<String> before, Evacuations evacuations, TargetDirectory directory, long now) {
+    ImmutableSet<String> after = evacuations.inForce().keySet();
+    for (String dataCentre : Sets.difference(after, before)) {
+      OptionalLong clearAt = evacuations.clearAt(dataCentre);
+      Logger.info(
+          "event=evacuation data_centre={} targets={} clear_age_ms={}",
+          dataCentre,
+          countTargets(dataCentre, directory),
+          clearAt.isEmpty() ? "unknown" : TimeUnit.NANOSECONDS.toMillis(now - clearAt.getAsLong()));
+    }
+    for (String dataCentre : Sets.difference(before, after)) {
+      Logger.info(
+          "event=evacuation_end data_centre={} targets={}",
+          dataCentre,
+          countTargets(dataCentre, directory));
+    }
+  }
+
+  private static long countTargets(String dataCentre, TargetDirectory directory) {
+    return directory.all().values().stream().filter(t -> t.dataCentre().equals(dataCentre)).count();
+  }
+
   /** Returns a task of the event loop that also logs the exception that it ends with. */
   Runnable logged(Runnable task) {
     return () -> {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayMetric.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayMetric.java
@@ -20,6 +20,12 @@
       "cowslipmoor_sent_to_leaving_total", "Requests sent to targets after that statement."),
   SENT_TO_LEAVING_SECONDS(
       "cowslipmoor_sent_to_leaving_seconds", "Time from that statement to such a request."),
+  EVACUATIONS("cowslipmoor_evacuations", "Data centres that are evacuated."),
+  EVACUATION_SECONDS(
+      "cowslipmoor_evacuation_seconds", "Time since the host learnt of the oldest evacuation."),
+  EVACUATED_KEYS("cowslipmoor_evacuated_keys", "Keys whose owners are in evacuated data centres."),
+  EVACUATION_REFUSALS(
+      "cowslipmoor_evacuation_refusals_total", "Requests refused because of an evacuation."),
   ANSWER_SECONDS("cowslipmoor_answer_seconds", "Time from a request to its answer's end."),
   IN_PROGRESS("cowslipmoor_requests_in_progress", "Requests in progress."),
   CONFIGURATION("cowslipmoor_configuration_version", "Version of the configuration in force."),
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/FixedStore.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/FixedStore.java
@@ -9,13 +9,22 @@
 import org.cowslipmoor.daemon.coordination.StoreView;
 import org.cowslipmoor.schema.fleet.StoreNews;
 
-/**
- * A store with a fixed view and no writes.
- *
- * @param view the view that consumers receive
- * @param response delays the delivery of the view until it completes
- */
-record FixedStore(StoreView view, CompletableFuture<Void> response) implements SharedStore {
+/** A store with a fixed view and no writes. */
+class FixedStore implements SharedStore {
+  private final StoreView view;
+  private final CompletableFuture<Void> response;
+
+  /**
+   * Creates a store.
+   *
+   * @param view the view that consumers receive
+   * @param response delays the delivery of the view until it completes
+   */
+  FixedStore(StoreView view, CompletableFuture<Void> response) {
+    this.view = view;
+    this.response = response;
+  }
+
   @Override
   public void watch(Consumer<StoreView> onChange) {
     response.thenRun(() -> onChange.accept(view));
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/LoopbackGateway.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/LoopbackGateway.java
@@ -22,6 +22,7 @@
 import java.util.function.BooleanSupplier;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.discovery.TargetDirectory;
+import org.cowslipmoor.core.discovery.TargetLimits;
 import org.cowslipmoor.core.fleet.MemberList;
 import org.cowslipmoor.core.range.GrantOutcome;
 import org.cowslipmoor.core.range.KeyRange;
@@ -34,6 +35,7 @@
 import org.cowslipmoor.core.routing.RoutingConfiguration;
 import org.cowslipmoor.core.routing.ServiceDescription;
 import org.cowslipmoor.core.routing.UnusableRoute;
+import org.cowslipmoor.daemon.coordination.SharedStore;
 import org.cowslipmoor.daemon.coordination.StoreView;
 import org.cowslipmoor.daemon.coordination.TargetCommands;
 import org.cowslipmoor.daemon.settings.GatewaySettings;
@@ -55,6 +57,7 @@
   HeaderCodec headerCodec = new PlainHeaderCodec();
   long graceMillis = 600;
   WebClient metrics;
+  TargetLimits targetLimits = TargetLimits.NONE;
   ImmutableSet<String> members = ImmutableSet.of("host-1");
 
   @AfterEach
@@ -160,17 +163,22 @@
         100,
         10_000,
         1e8,
-        1);
+        1,
+        targetLimits);
   }
 
   WebClient start(StoreView view) throws Exception {
+    return start(new FixedStore(view, storeResponse));
+  }
+
+  WebClient start(SharedStore store) throws Exception {
     choosePorts();
     host =
         GatewayHost.start(
             settings(),
             group,
             group.next(),
-            new FixedStore(view, storeResponse),
+            store,
             new NoCommands(),
             headerCodec,
             new SplittableRandom(1));
