Check that keys leave evacuated data centres ahead of the deadline

Cause: nothing showed that the coordinator moves keys of evacuated owners under the existing order of releases, fences and hold times. Change: RangeSimulation has three data centres, which the store may list as evacuated; FakeHost applies Evacuations to its directory as the daemon does. Without faults, all keys of a third of nine targets are elsewhere 2 s after the evacuation and no target has two times its share of them; with faults of hosts, targets and the store no key has two owners. Coordinators that assume releases are detected. Conclusion: RangeCoordinator needs no change for evacuations.

--- a/core/src/test/java/org/cowslipmoor/core/range/FakeHost.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/FakeHost.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.util.SplittableRandom;
+import org.cowslipmoor.core.discovery.Evacuations;
 import org.cowslipmoor.core.discovery.LeavingTargets;
 import org.cowslipmoor.core.discovery.TargetDirectory;
 import org.cowslipmoor.core.discovery.TargetIncarnation;
@@ -33,6 +34,9 @@
   /** Ticks between two reports or states. */
   private static final int EXCHANGE_TICKS = 5;
 
+  /** Time from the request to evacuate a data centre until the last request to a target there. */
+  private static final long EVACUATION_LIMIT_NANOS = 5_000 * VirtualTime.NANOS_PER_MILLI;
+
   private final RangeSimulation simulation;
   private final String id;
   private final VirtualTime time;
@@ -40,6 +44,7 @@
   private final SplittableRandom random;
   private final Leadership leadership;
   private final LeavingTargets leaving = LeavingTargets.create();
+  private final Evacuations evacuations = Evacuations.create();
   private final LeavingReports leavingReports = LeavingReports.create();
   private final FleetAggregator aggregator;
   private int ticks;
@@ -79,6 +84,7 @@
     this.leadership =
         Leadership.create(trustedLeaseNanos / VirtualTime.NANOS_PER_MILLI, random.split());
     this.aggregator = FleetAggregator.create(now());
+    this.evacuations.onLimit(EVACUATION_LIMIT_NANOS);
     this.resumesAt = time.now();
     time.schedule(TICK_NANOS, () -> runOnLoop(this::tick));
   }
@@ -185,6 +191,8 @@
     if (store.isReachableBy(this)) {
       directory = simulation.directory();
       leaving.onTargets(directory.all().values(), now);
+      evacuations.onEvacuated(simulation.evacuated, true, now);
+      evacuations.onConfirmed(now);
       aggregator.onTargets(directory.all().values());
       leadership.onVacancy(now, store.isVacant(), 0);
     }
@@ -242,9 +250,10 @@
   }
 
   private RangeInputs inputs(long now) {
+    TargetDirectory unevacuated = directory.withDraining(leaving.targets());
     return new RangeInputs(
         ImmutableSet.of(RangeSimulation.SERVICE),
-        directory.withDraining(leaving.targets()),
+        unevacuated.withDraining(evacuations.restricted(unevacuated, now)),
         unused -> simulation.load,
         leadership.isRecentlyRenewed(now));
   }
--- a/core/src/test/java/org/cowslipmoor/core/range/RangeOwnershipProperties.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/RangeOwnershipProperties.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -190,6 +191,105 @@
         anyTarget(simulation, random), running.get(random.nextInt(running.size())));
   }
 
+  /** Guards against keys that stay in an evacuated data centre, or burden few targets elsewhere. */
+  @Property(tries = 30, seed = "20261206")
+  void keysLeaveEvacuatedDataCentreAheadOfTheDeadline(@ForAll long seed) {
+    RangeSimulation simulation = new RangeSimulation(seed, 9, 0, 1);
+    simulation.addHost();
+    simulation.run(5_000 * RangeSimulation.NANOS_PER_MILLI);
+    simulation.evacuated.add("cairo");
+    simulation.run(2_000 * RangeSimulation.NANOS_PER_MILLI);
+
+    assertThat(simulation.ownedKeys("cairo"), is(0));
+    assertThat(simulation.largestOwnership(), lessThan((KeyRange.LAST_KEY + 1) * 2 / 6));
+    assertThat(simulation.servedFraction(), is(1.0));
+
+    simulation.evacuated.add("delta");
+    simulation.run(2_000 * RangeSimulation.NANOS_PER_MILLI);
+    assertThat(simulation.ownedKeys("emden"), is(KeyRange.LAST_KEY + 1));
+
+    simulation.evacuated.clear();
+    simulation.run(30_000 * RangeSimulation.NANOS_PER_MILLI);
+    assertThat(simulation.ownedKeys("cairo"), greaterThan(0));
+    assertThat(simulation.ownedKeys("delta"), greaterThan(0));
+    assertThat(simulation.servedFraction(), is(1.0));
+    assertThat(simulation.violations(), is(empty()));
+  }
+
+  /** Guards against keys without an owner when there is nowhere to move them to. */
+  @Property(tries = 30, seed = "20261206")
+  void keysStayWhenAllDataCentresAreEvacuated(@ForAll long seed) {
+    RangeSimulation simulation = new RangeSimulation(seed, 6, 0, 1);
+    simulation.run(5_000 * RangeSimulation.NANOS_PER_MILLI);
+    simulation.evacuated.addAll(List.of("cairo", "delta", "emden"));
+    simulation.run(10_000 * RangeSimulation.NANOS_PER_MILLI);
+    assertThat(simulation.servedFraction(), is(1.0));
+    simulation.evacuated.clear();
+    simulation.run(10_000 * RangeSimulation.NANOS_PER_MILLI);
+    assertThat(simulation.servedFraction(), is(1.0));
+    assertThat(simulation.violations(), is(empty()));
+  }
+
+  /**
+   * Guards against two owners while data centres are evacuated and taken back, and hosts, targets
+   * and the store fail.
+   */
+  @Property(tries = 40, seed = "20261206")
+  void keysOfEvacuatedDataCentresKeepOneOwner(@ForAll long seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    RangeSimulation simulation = new RangeSimulation(seed, 6, 0.1, 1);
+    List<FakeHost> hosts = new ArrayList<>(List.of(simulation.leader()));
+    addHosts(simulation, hosts, random);
+    simulation.run(3_000 * RangeSimulation.NANOS_PER_MILLI);
+    for (int i = 0; i < STEPS; i++) {
+      evacuateOrTakeBack(simulation, random);
+      injectHostFaults(simulation, hosts, random);
+      injectTargetFaults(simulation, random);
+      simulation.run(
+          random.nextLong(2_500) * RangeSimulation.NANOS_PER_MILLI
+              + RangeSimulation.NANOS_PER_MILLI);
+    }
+    simulation.evacuated.clear();
+    simulation.evacuated.add("cairo");
+    endFaults(simulation, hosts);
+
+    assertThat(simulation.violations(), is(empty()));
+    // A transfer may be in progress.
+    assertThat(simulation.advanceUntilAllServed(5_000 * RangeSimulation.NANOS_PER_MILLI), is(true));
+    assertThat(simulation.ownedKeys("cairo"), is(0));
+  }
+
+  /**
+   * Verifies that the check detects a coordinator that grants the keys of an evacuated data centre
+   * to the next owners without waiting for the releases.
+   */
+  @Property(tries = 1, seed = "20261206")
+  void releasesInEvacuatedDataCentreThatAreAssumedAreDetected() {
+    int violations = 0;
+    for (long seed = 0; seed < 5; seed++) {
+      violations += violationsAfterEvacuation(seed, true);
+      assertThat(violationsAfterEvacuation(seed, false), is(0));
+    }
+    assertThat(violations, greaterThan(0));
+  }
+
+  private static int violationsAfterEvacuation(long seed, boolean assumesReleases) {
+    RangeSimulation simulation = new RangeSimulation(seed, 6, 0, 1);
+    simulation.assumesReleases = assumesReleases;
+    simulation.addHost();
+    simulation.run(5_000 * RangeSimulation.NANOS_PER_MILLI);
+    simulation.evacuated.add("cairo");
+    simulation.run(4_000 * RangeSimulation.NANOS_PER_MILLI);
+    return simulation.violations().size();
+  }
+
+  private static void evacuateOrTakeBack(RangeSimulation simulation, SplittableRandom random) {
+    String dataCentre = List.of("cairo", "delta", "emden").get(random.nextInt(3));
+    if (!simulation.evacuated.remove(dataCentre)) {
+      simulation.evacuated.add(dataCentre);
+    }
+  }
+
   /** Covers a large service whose owners have several entries each. */
   @Property(tries = 2, seed = "20261204")
   void keysOfManyTargetsKeepOneOwner(@ForAll long seed) {
--- a/core/src/test/java/org/cowslipmoor/core/range/RangeSimulation.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/RangeSimulation.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
@@ -57,6 +59,9 @@
   /** Probability that a report or a state is lost. */
   double exchangeLossProbability;
 
+  /** The data centres that the store lists as evacuated. */
+  final Set<String> evacuated = new HashSet<>();
+
   /** Whether coordinators take a release as confirmed without asking the owner. */
   boolean assumesReleases;
 
@@ -277,6 +282,31 @@
     return store.table().find(SERVICE, key).orElseThrow().owner().id();
   }
 
+  /**
+   * Returns the number of keys that targets of a data centre own according to the store's table.
+   */
+  int ownedKeys(String dataCentre) {
+    return store.table().entries().stream()
+        .filter(e -> dataCentre(e.owner().id()).equals(dataCentre))
+        .mapToInt(e -> e.range().size())
+        .sum();
+  }
+
+  /** Returns the largest number of keys that a target owns according to the store's table. */
+  int largestOwnership() {
+    Map<String, Integer> keys = new HashMap<>();
+    store
+        .table()
+        .entries()
+        .forEach(e -> keys.merge(e.owner().id(), e.range().size(), Integer::sum));
+    return keys.values().stream().max(Comparator.naturalOrder()).orElse(0);
+  }
+
+  /** Returns the data centre of a target: one of three, given by the last character of its id. */
+  static String dataCentre(String id) {
+    return List.of("cairo", "delta", "emden").get(id.charAt(id.length() - 1) % 3);
+  }
+
   TargetDirectory directory() {
     return TargetDirectory.of(
         targets.values().stream().filter(t -> t.announcing).map(t -> t.announced).toList());
@@ -355,6 +385,7 @@
 
   private static DiscoveredTarget entry(
       TargetIncarnation incarnation, String address, boolean draining) {
-    return new DiscoveredTarget(incarnation, SERVICE, address, "cairo", 4, draining, 0);
+    return new DiscoveredTarget(
+        incarnation, SERVICE, address, dataCentre(incarnation.id()), 4, draining, 0);
   }
 }
