Keep requests in the data centre while its targets serve them in time

Cause: requests without a key were distributed over the targets of all data centres, with a fixed cost of the path.

Change: core.balance.Spillover decides which share leaves, from the load of the own targets beyond what they serve in time. Requests that would be rejected or late leave at once, without usable targets all of them. Other data centres accept less as their load nears what they serve in time. The former rule stays as createWithFixedPathCost for comparison.

--- a/core/src/main/java/org/cowslipmoor/core/admission/TargetLoadBalancer.java
+++ b/core/src/main/java/org/cowslipmoor/core/admission/TargetLoadBalancer.java
@@ -4,12 +4,15 @@
 
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.Maps;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import org.cowslipmoor.core.balance.Spillover;
 import org.cowslipmoor.core.balance.TargetHealth;
 import org.cowslipmoor.core.balance.WaterFilling;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
@@ -27,6 +30,11 @@
  * and late, a target is chosen at random by its share of what all hosts are expected to send since
  * then; see {@link WaterFilling}. A request that no target is expected to serve in time is rejected
  * immediately, since queueing it beyond its objective would delay the requests behind it as well.
+ *
+ * <p>Requests stay in the host's data centre while its targets serve them in time; see {@link
+ * Spillover}. Those that would be rejected or late there leave at once, and others by a share that
+ * changes gradually, if that saves them more waiting than the path costs. They leave only to
+ * targets that would serve them in time.
  */
 public final class TargetLoadBalancer {
   private static final long NANOS_PER_MILLI = 1_000_000L;
@@ -52,12 +60,6 @@
   /** Maximum number of requests queued at a target per slot. */
   private static final double MAX_QUEUED_PER_SLOT = 2;
 
-  /** Cost of each response byte from another data centre, in equivalent nanoseconds of waiting. */
-  private static final double CROSS_DATA_CENTRE_NANOS_PER_BYTE = 1_000;
-
-  /** Round-trip time between data centres. */
-  private static final double CROSS_DATA_CENTRE_ROUND_TRIP_NANOS = 3 * NANOS_PER_MILLI;
-
   /** Share of a service's tightest objective that queueing and service time may use. */
   private static final double OBJECTIVE_SHARE = 0.9;
 
@@ -90,14 +92,19 @@
 
   private final String dataCentre;
   private final RandomGenerator random;
+  private final boolean staysHome;
   private final TargetHealth health = TargetHealth.create(MAX_EJECTED_SHARE);
   private final Map<String, TargetStats> statsByTarget = new HashMap<>();
   private final Map<String, ServiceStats> statsByService = new HashMap<>();
   private ImmutableMap<String, Integer> connectionShares = ImmutableMap.of();
 
-  private TargetLoadBalancer(String dataCentre, RandomGenerator random) {
+  /** Time of the last state that told the loads of targets, if there was one. */
+  private OptionalLong loadsReceivedAt = OptionalLong.empty();
+
+  private TargetLoadBalancer(String dataCentre, RandomGenerator random, boolean staysHome) {
     this.dataCentre = dataCentre;
     this.random = random;
+    this.staysHome = staysHome;
   }
 
   /**
@@ -107,7 +114,16 @@
    * @param random draws the targets of requests
    */
   public static TargetLoadBalancer create(String dataCentre, RandomGenerator random) {
-    return new TargetLoadBalancer(dataCentre, random);
+    return new TargetLoadBalancer(dataCentre, random, true);
+  }
+
+  /**
+   * Creates a load balancer that chooses among the targets of all data centres, where the path to
+   * another one counts as waiting. This is the former rule, kept for comparison in simulations.
+   */
+  public static TargetLoadBalancer createWithFixedPathCost(
+      String dataCentre, RandomGenerator random) {
+    return new TargetLoadBalancer(dataCentre, random, false);
   }
 
   /**
@@ -150,21 +166,137 @@
     if (usable.isEmpty()) {
       return new Placement.NoTarget();
     }
-    WaterFilling filling = WaterFilling.create(usable.size());
-    double requests = 1;
+    ServiceStats m = serviceStats(usable.getFirst().service());
+    m.recordObjective(requirements.objectiveNanos(), now);
+    List<DiscoveredTarget> home = new ArrayList<>(usable.size());
+    List<DiscoveredTarget> away = new ArrayList<>(usable.size());
     for (DiscoveredTarget t : usable) {
+      (t.dataCentre().equals(dataCentre) ? home : away).add(t);
+    }
+    if (away.isEmpty() || home.isEmpty() || !staysHome) {
+      Placement placement = assignWithin(usable, requirements, now);
+      m.recordPlacement(placement, dataCentre, SpilloverReason.NONE_USABLE);
+      return placement;
+    }
+    updateSpillover(m, home, now);
+    Placement placement = assignWithin(home, requirements, now);
+    if (mayLeave(placement, m, requirements)) {
+      Placement elsewhere = assignAway(away, placement, requirements, now);
+      placement = elsewhere == null ? placement : elsewhere;
+    }
+    m.recordPlacement(placement, dataCentre, SpilloverReason.SATURATED);
+    return placement;
+  }
+
+  /** Assigns a request to one of several targets, up to the limits of their queues. */
+  private Placement assignWithin(
+      List<DiscoveredTarget> targets, RequestRequirements requirements, long now) {
+    WaterFilling filling = WaterFilling.create(targets.size());
+    double requests = 1;
+    for (DiscoveredTarget t : targets) {
       double remaining = remainingLoad(t, now);
       requests += reportedLoad(t) - remaining;
       double room = hasConnection(t) ? Math.max(0, maxLoad(t) - remaining) : 0;
-      filling.add(remaining, room, t.slots(), serviceNanos(t), crossDataCentreNanos(t));
+      double extraNanos =
+          staysHome || t.dataCentre().equals(dataCentre)
+              ? 0
+              : Spillover.pathNanos(serviceStats(t.service()).responseBytes);
+      filling.add(remaining, room, t.slots(), serviceNanos(t), extraNanos);
     }
     filling.distribute(requests);
     int chosen = filling.choose(random);
     if (chosen < 0) {
-      return new Placement.Reject(retryAfterNanos(usable, now));
+      return new Placement.Reject(retryAfterNanos(targets, now));
     }
     // The request itself is one of those that were distributed.
-    return admit(usable.get(chosen), Math.max(0, filling.load(chosen) - 1), requirements, now);
+    return admit(targets.get(chosen), Math.max(0, filling.load(chosen) - 1), requirements, now);
+  }
+
+  /** Adapts the share that leaves to the load of the own data centre's targets. */
+  private void updateSpillover(ServiceStats m, List<DiscoveredTarget> home, long now) {
+    double objectiveNanos = m.tightestObjectiveNanos(now);
+    double excess = 0;
+    double requestsPerNano = 0;
+    for (DiscoveredTarget t : home) {
+      excess += load(t, now) - inTimeLoad(t, objectiveNanos);
+      requestsPerNano += t.slots() / serviceNanos(t);
+    }
+    boolean fresh =
+        loadsReceivedAt.isPresent() && now - loadsReceivedAt.getAsLong() < MAX_OTHERS_AGE_NANOS;
+    m.spillover(now).update(excess, requestsPerNano, fresh, now);
+  }
+
+  /** Returns whether a request leaves if it saves enough waiting, given its placement at home. */
+  private boolean mayLeave(Placement home, ServiceStats m, RequestRequirements requirements) {
+    if (!(home instanceof Placement.Send send)) {
+      return true;
+    }
+    return isLate(send, requirements) || random.nextDouble() < m.spilloverShare();
+  }
+
+  private boolean isLate(Placement.Send home, RequestRequirements requirements) {
+    double serviceNanos = serviceNanos(home.target());
+    double waitNanos = Math.max(0, home.expectedNanos() - Math.ceil(serviceNanos));
+    return Spillover.isLate(waitNanos, serviceNanos, requirements.objectiveNanos());
+  }
+
+  /**
+   * Assigns a request to a target of another data centre that serves it in time.
+   *
+   * @param home its placement in the own data centre
+   * @return null if there is none, or if the path costs more than the waiting that it saves
+   */
+  private @Nullable Placement assignAway(
+      List<DiscoveredTarget> away, Placement home, RequestRequirements requirements, long now) {
+    double objectiveNanos = requirements.objectiveNanos() - Spillover.ROUND_TRIP_NANOS;
+    WaterFilling filling = WaterFilling.create(away.size());
+    double requests = 1;
+    double reported = 0;
+    double accepted = 0;
+    for (DiscoveredTarget t : away) {
+      double remaining = remainingLoad(t, now);
+      double limit = acceptedLoad(t, objectiveNanos);
+      requests += reportedLoad(t) - remaining;
+      reported += reportedLoad(t);
+      accepted += limit;
+      double room = hasConnection(t) ? Math.max(0, limit - remaining) : 0;
+      filling.add(remaining, room, t.slots(), serviceNanos(t), 0);
+    }
+    if (random.nextDouble() >= Spillover.acceptance(reported, accepted)) {
+      return null;
+    }
+    filling.distribute(requests);
+    int chosen = filling.choose(random);
+    if (chosen < 0) {
+      return null;
+    }
+    DiscoveredTarget target = away.get(chosen);
+    double load = Math.max(0, filling.load(chosen) - 1);
+    if (!(admit(target, load, requirements, now) instanceof Placement.Send send)
+        || send.expectedNanos() > objectiveNanos) {
+      return null;
+    }
+    if (home instanceof Placement.Send atHome && !isLate(atHome, requirements)) {
+      double homeWaitNanos = atHome.expectedNanos() - serviceNanos(atHome.target());
+      double savedNanos = homeWaitNanos - waitNanos(target, load);
+      double costNanos = Spillover.pathNanos(serviceStats(target.service()).responseBytes);
+      return savedNanos > costNanos ? send : null;
+    }
+    return send;
+  }
+
+  /** Returns the load up to which a target accepts requests from other data centres. */
+  private double acceptedLoad(DiscoveredTarget target, double objectiveNanos) {
+    return Math.min(
+        maxLoad(target),
+        Spillover.acceptedLoad(target.slots(), serviceNanos(target), objectiveNanos));
+  }
+
+  /** Returns the load up to which a target of the own data centre serves all requests in time. */
+  private double inTimeLoad(DiscoveredTarget target, double objectiveNanos) {
+    return Math.min(
+        maxLoad(target),
+        Spillover.inTimeLoad(target.slots(), serviceNanos(target), objectiveNanos));
   }
 
   /** Decides whether a request can be served in time by the only target that may serve it. */
@@ -228,6 +360,9 @@
     ServiceStats m = serviceStats(target.service());
     m.serviceNanos += SMOOTHING_FACTOR * (serviceNanos - m.serviceNanos);
     m.responseBytes += SMOOTHING_FACTOR * (bytes - m.responseBytes);
+    if (m.placed > 0 && !target.dataCentre().equals(dataCentre)) {
+      m.spilledBytes += bytes;
+    }
     recordReportedLoad(target, now, load);
   }
 
@@ -277,8 +412,23 @@
     return samples.buildOrThrow();
   }
 
+  /** Returns what left the data centre since the start, by service without keys. */
+  public ImmutableMap<String, SpilloverCounts> spilloverCounts() {
+    ImmutableMap.Builder<String, SpilloverCounts> counts = ImmutableMap.builder();
+    statsByService.forEach(
+        (service, m) -> {
+          if (m.placed > 0) {
+            counts.put(service, m.counts());
+          }
+        });
+    return counts.buildOrThrow();
+  }
+
   /** Applies the state that is aggregated from the reports of all hosts. */
   public void onFleetState(FleetState fleet, long now) {
+    if (!fleet.targets().isEmpty()) {
+      loadsReceivedAt = OptionalLong.of(now);
+    }
     fleet
         .targets()
         .forEach(
@@ -360,13 +510,6 @@
     return target.slots() * (1 + MAX_QUEUED_PER_SLOT);
   }
 
-  private double crossDataCentreNanos(DiscoveredTarget target) {
-    return target.dataCentre().equals(dataCentre)
-        ? 0
-        : CROSS_DATA_CENTRE_ROUND_TRIP_NANOS
-            + CROSS_DATA_CENTRE_NANOS_PER_BYTE * serviceStats(target.service()).responseBytes;
-  }
-
   private long retryAfterNanos(List<DiscoveredTarget> targets, long now) {
     double shortest =
         targets.stream().mapToDouble(t -> queueNanos(t, now)).min().orElse(MIN_RETRY_AFTER_NANOS);
@@ -413,11 +556,54 @@
     }
   }
 
+  /** Why a request leaves the data centre. */
+  private enum SpilloverReason {
+    /** The own targets would reject it, or serve it late, or are loaded beyond their limit. */
+    SATURATED,
+    /** The data centre has no usable target of the service. */
+    NONE_USABLE
+  }
+
   /** Statistics over all targets of one service. */
   private static final class ServiceStats {
     double serviceNanos = INITIAL_SERVICE_NANOS;
     double responseBytes;
     private final Map<Long, Long> lastSeenByObjective = new HashMap<>();
+    @Nullable Spillover spillover;
+    long placed;
+    long leftSaturated;
+    long leftNoneUsable;
+    long spilledBytes;
+
+    Spillover spillover(long now) {
+      if (spillover == null) {
+        spillover = Spillover.create(now);
+      }
+      return spillover;
+    }
+
+    double spilloverShare() {
+      return spillover == null ? 0 : spillover.share();
+    }
+
+    /** Counts a request without a key, and for which reason it leaves the data centre, if so. */
+    void recordPlacement(Placement placement, String dataCentre, SpilloverReason reason) {
+      if (!(placement instanceof Placement.Send send)) {
+        return;
+      }
+      placed++;
+      if (!send.target().dataCentre().equals(dataCentre)) {
+        switch (reason) {
+          case SATURATED -> leftSaturated++;
+          case NONE_USABLE -> leftNoneUsable++;
+        }
+      }
+    }
+
+    SpilloverCounts counts() {
+      return new SpilloverCounts(
+          placed, leftSaturated, leftNoneUsable, spilledBytes, spilloverShare());
+    }
 
     void recordObjective(long nanos, long now) {
       lastSeenByObjective.put(nanos, now);
--- a/core/src/test/java/org/cowslipmoor/core/admission/TargetLoadBalancerTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/admission/TargetLoadBalancerTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import com.google.common.collect.ImmutableList;
@@ -51,6 +52,159 @@
         NOW);
   }
 
+  private static TargetLoadBalancer withLoads(
+      Map<String, Integer> loads, long serviceMs, long now) {
+    TargetLoadBalancer host = TargetLoadBalancer.create("cairo", new SplittableRandom(1));
+    onLoads(host, loads, serviceMs, now);
+    return host;
+  }
+
+  private static void onLoads(
+      TargetLoadBalancer host, Map<String, Integer> loads, long serviceMs, long now) {
+    ImmutableMap.Builder<String, FleetState.TargetState> states = ImmutableMap.builder();
+    loads.forEach(
+        (id, n) -> states.put(id, new FleetState.TargetState(n, serviceMs * NANOS_PER_MILLI)));
+    host.onFleetState(
+        new FleetState(
+            10,
+            states.buildOrThrow(),
+            0,
+            ImmutableList.of(),
+            ImmutableSet.of(),
+            true,
+            ImmutableSet.of()),
+        now);
+  }
+
+  /** Returns how many of 200 requests, all assigned at one time, leave the data centre. */
+  private static int left(
+      TargetLoadBalancer host, List<DiscoveredTarget> targets, RequestRequirements r, long now) {
+    int left = 0;
+    for (int i = 0; i < 200; i++) {
+      Placement p = host.assign(targets, Set.of(), r, now);
+      left += p instanceof Placement.Send s && s.target().dataCentre().equals("giza") ? 1 : 0;
+    }
+    return left;
+  }
+
+  private static final RequestRequirements LENIENT =
+      new RequestRequirements(700 * NANOS_PER_MILLI, 2_000 * NANOS_PER_MILLI, 1);
+  private static final List<DiscoveredTarget> TWO_DATA_CENTRES =
+      List.of(target("near", "cairo"), target("far", "giza"));
+
+  /** Guards against traffic between data centres for targets there that are merely faster. */
+  @Test
+  void nothingLeavesWhileTheOwnDataCentreServesInTime() {
+    fleet("near", 1, 90);
+    fleet("far", 0, 20);
+    assertThat(left(balancer, TWO_DATA_CENTRES, REQUIREMENTS, NOW), is(0));
+  }
+
+  /** Guards against rejections while another data centre has room; the share may still be 0. */
+  @Test
+  void requestsThatWouldBeRejectedLeaveAtOnce() {
+    TargetLoadBalancer host = withLoads(Map.of("near", 12, "far", 0), 100, NOW);
+    assertThat(left(host, TWO_DATA_CENTRES, LENIENT, NOW), greaterThanOrEqualTo(50));
+    assertThat(host.spilloverCounts().get("sheets").share(), is(0.0));
+    assertThat(host.spilloverCounts().get("sheets").leftSaturated(), greaterThanOrEqualTo(50L));
+  }
+
+  /** Guards against late responses of slow targets while another data centre has fast ones. */
+  @Test
+  void requestsThatWouldBeLateLeaveAtOnce() {
+    fleet("near", 0, 400);
+    fleet("far", 0, 50);
+    assertThat(left(balancer, TWO_DATA_CENTRES, REQUIREMENTS, NOW), is(200));
+  }
+
+  @Test
+  void everythingLeavesWithoutUsableTargetsInTheOwnDataCentre() {
+    TargetLoadBalancer host = withLoads(Map.of("far", 0), 50, NOW);
+    assertThat(left(host, List.of(target("far", "giza")), REQUIREMENTS, NOW), is(200));
+    assertThat(host.spilloverCounts().get("sheets").leftNoneUsable(), is(200L));
+    assertThat(host.spilloverCounts().get("sheets").leftSaturated(), is(0L));
+  }
+
+  /** Guards against one data centre's overload that makes another one's requests late. */
+  @Test
+  void nothingLeavesToTargetsThatWouldServeItLate() {
+    TargetLoadBalancer host = withLoads(Map.of("near", 12, "far", 7), 200, NOW);
+    assertThat(left(host, TWO_DATA_CENTRES, LENIENT, NOW), is(0));
+  }
+
+  /** The share of requests that leaves although the own target would accept them, over time. */
+  private static int leftAfterSteadyLoad(long bytes) {
+    TargetLoadBalancer host = TargetLoadBalancer.create("cairo", new SplittableRandom(1));
+    for (int i = 0; i < 40; i++) {
+      host.onSend(target("near", "cairo"), NOW);
+      host.onResponse(target("near", "cairo"), NOW, 100 * NANOS_PER_MILLI, bytes, null);
+    }
+    long now = NOW;
+    for (int i = 0; i < 12; i++) {
+      now += 250 * NANOS_PER_MILLI;
+      onLoads(host, Map.of("near", 5, "far", 0), 100, now);
+      host.assign(TWO_DATA_CENTRES, Set.of(), LENIENT, now);
+    }
+    return left(host, TWO_DATA_CENTRES, LENIENT, now);
+  }
+
+  @Test
+  void shareOfTheRequestsLeavesWhileTheOwnTargetsAreLoaded() {
+    TargetLoadBalancer host = TargetLoadBalancer.create("cairo", new SplittableRandom(1));
+    int before = 0;
+    long now = NOW;
+    for (int i = 0; i < 12; i++) {
+      now += 250 * NANOS_PER_MILLI;
+      onLoads(host, Map.of("near", 5, "far", 0), 400, now);
+      before += left(host, TWO_DATA_CENTRES, slowRequirements(), now);
+    }
+    assertThat(before, greaterThanOrEqualTo(1));
+    double share = host.spilloverCounts().get("sheets").share();
+    assertThat(share, greaterThanOrEqualTo(0.05));
+    assertThat(share, lessThanOrEqualTo(0.5));
+  }
+
+  private static RequestRequirements slowRequirements() {
+    return new RequestRequirements(2_000 * NANOS_PER_MILLI, 4_000 * NANOS_PER_MILLI, 1);
+  }
+
+  /** Guards against traffic that costs more than the waiting that it saves. */
+  @Test
+  void requestsWithLargeResponsesStayWhileTheyAreServed() {
+    assertThat(leftAfterSteadyLoad(10_000_000), is(0));
+  }
+
+  /** Guards against hosts that return requests since they no longer hear of the others' load. */
+  @Test
+  void shareStaysWhenTheLoadsOfOtherHostsAreOld() {
+    TargetLoadBalancer host = TargetLoadBalancer.create("cairo", new SplittableRandom(1));
+    long now = NOW;
+    for (int i = 0; i < 12; i++) {
+      now += 250 * NANOS_PER_MILLI;
+      onLoads(host, Map.of("near", 5, "far", 0), 400, now);
+      host.assign(TWO_DATA_CENTRES, Set.of(), slowRequirements(), now);
+    }
+    double share = host.spilloverCounts().get("sheets").share();
+    now += 5_000 * NANOS_PER_MILLI;
+    host.assign(TWO_DATA_CENTRES, Set.of(), slowRequirements(), now);
+    assertThat(host.spilloverCounts().get("sheets").share(), is(share));
+
+    // Loads that are known again, and low, let the share fall.
+    onLoads(host, Map.of("near", 0, "far", 0), 400, now);
+    host.assign(TWO_DATA_CENTRES, Set.of(), slowRequirements(), now + NANOS_PER_MILLI * 100);
+    assertThat(host.spilloverCounts().get("sheets").share(), lessThan(share));
+  }
+
+  /** The former rule is kept for comparison only: it leaves for targets that are faster. */
+  @Test
+  void formerRuleLeavesForFasterTargets() {
+    TargetLoadBalancer former =
+        TargetLoadBalancer.createWithFixedPathCost("cairo", new SplittableRandom(1));
+    onLoads(former, Map.of("far", 0), 20, NOW);
+    onLoads(former, Map.of("near", 1), 90, NOW);
+    assertThat(left(former, TWO_DATA_CENTRES, REQUIREMENTS, NOW), greaterThanOrEqualTo(1));
+  }
+
   private String assignedTarget(List<DiscoveredTarget> targets) {
     Placement p = balancer.assign(targets, Set.of(), REQUIREMENTS, NOW);
     return ((Placement.Send) p).target().id();
