Bound the requests to cold targets by allowances

Cause: nothing limits the requests to a target that has just started.

Change: the coordinator hands out allowances, numbers of requests to a target, for at most the bound less a tenth in any 2 s. A host asks for one when it draws a cold target, spends it right before a request is written, and holds it for 1 s at most from the time of asking. A coordinator hands out nothing in the first 2 s of its term. A service without keys uses other targets meanwhile, or rejects the request as not run; a request for a key of a cold owner waits as for an owner. After the cold period the room of a target rises within 2 s. Without cold_per_s or cold_over nothing changes.

Conclusion: the bound holds by construction as far as a host knows that a target is cold.

--- a/core/src/main/java/org/cowslipmoor/core/admission/Placement.java
+++ b/core/src/main/java/org/cowslipmoor/core/admission/Placement.java
@@ -20,6 +20,9 @@
    */
   record Reject(long retryAfterNanos) implements Placement {}
 
+  /** Only cold targets could serve the request, and the host has no allowance for them. */
+  record NoAllowance() implements Placement {}
+
   /** No target is available for the request. */
   record NoTarget() implements Placement {}
 }
--- a/core/src/main/java/org/cowslipmoor/core/admission/TargetLoadBalancer.java
+++ b/core/src/main/java/org/cowslipmoor/core/admission/TargetLoadBalancer.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.cowslipmoor.core.balance.TargetHealth;
@@ -95,6 +96,13 @@
   private final Map<String, ServiceStats> statsByService = new HashMap<>();
   private ImmutableMap<String, Integer> connectionShares = ImmutableMap.of();
 
+  /** Restricts the room of targets. */
+  @FunctionalInterface
+  public interface RoomLimit {
+    /** Returns the room of a target, at most the given one and at least 0. */
+    double apply(DiscoveredTarget target, double room);
+  }
+
   private TargetLoadBalancer(String dataCentre, RandomGenerator random) {
     this.dataCentre = dataCentre;
     this.random = random;
@@ -143,6 +151,25 @@
       Set<String> excluded,
       RequestRequirements requirements,
       long now) {
+    return assign(targets, excluded, requirements, (target, room) -> room, now);
+  }
+
+  /**
+   * Assigns a request to one of several targets, some of which get no more than a part of what
+   * their loads allow.
+   *
+   * @param targets the candidates
+   * @param excluded ids of targets that must not be used
+   * @param requirements what the request requires of a target
+   * @param roomLimit restricts how many of the requests that are distributed now a target may get
+   * @param now current time
+   */
+  public Placement assign(
+      List<DiscoveredTarget> targets,
+      Set<String> excluded,
+      RequestRequirements requirements,
+      RoomLimit roomLimit,
+      long now) {
     List<DiscoveredTarget> usable =
         health.usable(targets, DiscoveredTarget::id, now).stream()
             .filter(t -> !excluded.contains(t.id()))
@@ -156,7 +183,8 @@
       double remaining = remainingLoad(t, now);
       requests += reportedLoad(t) - remaining;
       double room = hasConnection(t) ? Math.max(0, maxLoad(t) - remaining) : 0;
-      filling.add(remaining, room, t.slots(), serviceNanos(t), crossDataCentreNanos(t));
+      filling.add(
+          remaining, roomLimit.apply(t, room), t.slots(), serviceNanos(t), crossDataCentreNanos(t));
     }
     filling.distribute(requests);
     int chosen = filling.choose(random);
@@ -167,6 +195,13 @@
     return admit(usable.get(chosen), Math.max(0, filling.load(chosen) - 1), requirements, now);
   }
 
+  /** Returns a random one of the targets with the given probability; otherwise none. */
+  public Optional<DiscoveredTarget> sample(List<DiscoveredTarget> targets, double probability) {
+    return targets.isEmpty() || random.nextDouble() >= probability
+        ? Optional.empty()
+        : Optional.of(targets.get(random.nextInt(targets.size())));
+  }
+
   /** Decides whether a request can be served in time by the only target that may serve it. */
   public Placement admit(DiscoveredTarget target, RequestRequirements requirements, long now) {
     return admit(target, load(target, now), requirements, now);
--- /dev/null
+++ b/core/src/main/java/org/cowslipmoor/core/coldstart/Allowance.java
@@ -0,0 +1,15 @@
+package org.cowslipmoor.core.coldstart;
+
+import com.google.common.collect.ImmutableMap;
+import org.cowslipmoor.core.discovery.TargetIncarnation;
+
+/**
+ * The coordinator's answer to an {@link AllowanceRequest}.
+ *
+ * @param requests number of requests that the host may send, by target; 0 for a target that it may
+ *     send none to
+ * @param askedAt the host's clock when it asked, in nanoseconds
+ * @param validNanos time from then for which the allowance is valid
+ */
+public record Allowance(
+    ImmutableMap<TargetIncarnation, Integer> requests, long askedAt, long validNanos) {}
--- a/core/src/main/java/org/cowslipmoor/core/selection/TargetSelector.java
+++ b/core/src/main/java/org/cowslipmoor/core/selection/TargetSelector.java
@@ -1,6 +1,7 @@
 package org.cowslipmoor.core.selection;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.util.HashSet;
 import java.util.Optional;
@@ -9,11 +10,18 @@
 import org.cowslipmoor.core.admission.Placement;
 import org.cowslipmoor.core.admission.RequestRequirements;
 import org.cowslipmoor.core.admission.TargetLoadBalancer;
+import org.cowslipmoor.core.coldstart.Allowance;
+import org.cowslipmoor.core.coldstart.AllowanceRequest;
+import org.cowslipmoor.core.coldstart.AllowanceStock;
+import org.cowslipmoor.core.coldstart.ColdLimit;
+import org.cowslipmoor.core.coldstart.ColdTargets;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.discovery.DrainDeadlines;
 import org.cowslipmoor.core.discovery.LeavingTargets;
 import org.cowslipmoor.core.discovery.TargetDirectory;
 import org.cowslipmoor.core.discovery.TargetIncarnation;
+import org.cowslipmoor.core.discovery.TargetLimits;
+import org.cowslipmoor.core.routing.ServiceDescription;
 
 /**
  * Decides for one host which target may get a request, now, and at what cost: the one place that
@@ -22,9 +30,18 @@
  * nanoseconds of the host's clock.
  */
 public final class TargetSelector {
+  /**
+   * Share of requests that ask for an allowance for a cold target that the host has not asked for
+   * yet. Without it, a target that joins a service with little load may get no work for seconds,
+   * because targets that the host knows to be faster are preferred.
+   */
+  private static final double TRIAL_SHARE = 0.2;
+
   private final TargetLoadBalancer loadBalancer;
   private final LeavingTargets leaving = LeavingTargets.create();
   private final DrainDeadlines drainDeadlines;
+  private final ColdTargets coldTargets = ColdTargets.create();
+  private final AllowanceStock allowances = AllowanceStock.create();
 
   /** The targets as the store lists them. */
   private TargetDirectory registered = TargetDirectory.empty();
@@ -53,11 +70,22 @@
     drainDeadlines.onLimit(limitNanos);
   }
 
+  /** Applies new limits on the use of targets. */
+  public void onTargetLimits(TargetLimits limits) {
+    coldTargets.onLimits(limits);
+  }
+
+  /** Applies the services of a new configuration. */
+  public void onServices(ImmutableMap<String, ServiceDescription> services) {
+    coldTargets.onServices(services);
+  }
+
   /** Applies the targets as the store lists them. */
   public void onTargets(TargetDirectory newRegistered, long now) {
     registered = newRegistered;
     leaving.onTargets(newRegistered.all().values(), now);
     drainDeadlines.onTargets(newRegistered.all().values(), now);
+    coldTargets.onTargets(newRegistered.all().values(), now);
     loadBalancer.retain(newRegistered.all().keySet());
     updateDirectory();
   }
@@ -99,21 +127,75 @@
   public Placement assign(
       String service, Set<String> excluded, RequestRequirements requirements, long now) {
     ImmutableList<DiscoveredTarget> candidates = drainDeadlines.candidates(directory, service, now);
-    return loadBalancer.assign(candidates, excluded, requirements, now);
+    return coldTargets.limit(service).isEmpty()
+        ? loadBalancer.assign(candidates, excluded, requirements, now)
+        : assignWithAllowance(candidates, excluded, requirements, now);
+  }
+
+  /**
+   * Assigns a request of a service whose cold targets have a limit. An allowance that the host
+   * holds is used first. Otherwise the request asks for one with the probability of the cold
+   * target's share, for the requests after it, and is served by a warm target.
+   */
+  private Placement assignWithAllowance(
+      ImmutableList<DiscoveredTarget> candidates,
+      Set<String> excluded,
+      RequestRequirements requirements,
+      long now) {
+    for (DiscoveredTarget t : candidates) {
+      if (!excluded.contains(t.id())
+          && coldTargets.isCold(t, now)
+          && allowances.holds(t.incarnation(), now)
+          && loadBalancer.admit(t, requirements, now) instanceof Placement.Send allowed) {
+        return allowed;
+      }
+    }
+    ImmutableList<DiscoveredTarget> untried =
+        candidates.stream()
+            .filter(t -> coldTargets.isCold(t, now) && !allowances.isKnown(t.incarnation()))
+            .collect(ImmutableList.toImmutableList());
+    loadBalancer.sample(untried, TRIAL_SHARE).ifPresent(t -> demandAllowance(t, now));
+    Placement drawn = loadBalancer.assign(candidates, excluded, requirements, room(now), now);
+    if (!(drawn instanceof Placement.Send send) || !coldTargets.isCold(send.target(), now)) {
+      return drawn;
+    }
+    demandAllowance(send.target(), now);
+    ImmutableList<DiscoveredTarget> warm =
+        candidates.stream()
+            .filter(t -> !coldTargets.isCold(t, now))
+            .collect(ImmutableList.toImmutableList());
+    Placement placement = loadBalancer.assign(warm, excluded, requirements, room(now), now);
+    return placement instanceof Placement.NoTarget ? new Placement.NoAllowance() : placement;
+  }
+
+  private TargetLoadBalancer.RoomLimit room(long now) {
+    return (target, room) -> coldTargets.room(target, room, now);
+  }
+
+  private void demandAllowance(DiscoveredTarget target, long now) {
+    Optional<ColdLimit> limit = coldTargets.limit(target.service());
+    limit.ifPresent(l -> allowances.onDemand(target.incarnation(), l, now));
   }
 
   /**
    * Assigns a request to the owner of its key.
    *
-   * @return {@link Placement.NoTarget} if the owner is not registered, or has left
+   * @return {@link Placement.NoTarget} if the owner is not registered, or has left; {@link
+   *     Placement.NoAllowance} if it is cold and the host must wait for an allowance
    */
   public Placement assignToOwner(
       TargetIncarnation owner, RequestRequirements requirements, long now) {
     Optional<DiscoveredTarget> usable =
         directory.find(owner).filter(t -> drainDeadlines.isUsable(t, now));
-    return usable.isEmpty()
-        ? new Placement.NoTarget()
-        : loadBalancer.admit(usable.get(), requirements, now);
+    if (usable.isEmpty()) {
+      return new Placement.NoTarget();
+    }
+    DiscoveredTarget target = usable.get();
+    if (coldTargets.isCold(target, now) && !allowances.holds(owner, now)) {
+      demandAllowance(target, now);
+      return new Placement.NoAllowance();
+    }
+    return loadBalancer.admit(target, requirements, now);
   }
 
   /** Returns whether an owner has left or drained for too long, so that waiting for it is vain. */
@@ -123,10 +205,51 @@
 
   /**
    * Returns whether a request may still be written to the target that was chosen for it; called
-   * right before it is written.
+   * right before it is written, and only once for each write: it spends the allowance that a cold
+   * target needs.
    */
   public boolean mayReceive(DiscoveredTarget target, long now) {
-    return !drainDeadlines.hasPassed(target.incarnation(), now);
+    return !drainDeadlines.hasPassed(target.incarnation(), now)
+        && (coldTargets.limit(target.service()).isEmpty() || mayReceiveWhileCold(target, now));
+  }
+
+  /**
+   * Returns whether the limit on cold targets allows a request. The target may have restarted since
+   * it was chosen, and the present incarnation, at the same address, would get the request; one
+   * that is not registered any more may be restarting.
+   */
+  private boolean mayReceiveWhileCold(DiscoveredTarget target, long now) {
+    DiscoveredTarget present = registered.all().get(target.id());
+    return present != null
+        && (!coldTargets.isCold(present, now) || allowances.spend(present.incarnation(), now));
+  }
+
+  /**
+   * Returns the request for allowances that is to be sent to the coordinator now, if one is due.
+   */
+  public Optional<AllowanceRequest> nextAllowanceRequest(long now) {
+    return allowances.nextRequest(now);
+  }
+
+  /** Applies the coordinator's answer to a request for allowances. */
+  public void onAllowance(Allowance allowance, long now) {
+    allowances.onAllowance(allowance, now);
+  }
+
+  /** Drops all allowances, since the host's clock may have stopped for a time. */
+  public void onSuspended() {
+    allowances.clear();
+  }
+
+  /** Returns the registered targets that are cold and have a limit. */
+  public ImmutableSet<TargetIncarnation> coldTargets(long now) {
+    return coldTargets.coldAmong(registered.all().values(), now);
+  }
+
+  /** Returns the limit on requests to the target of an id; empty if it has none. */
+  public Optional<ColdLimit> coldLimit(String targetId) {
+    return Optional.ofNullable(registered.all().get(targetId))
+        .flatMap(t -> coldTargets.limit(t.service()));
   }
 
   /**
--- /dev/null
+++ b/core/src/test/java/org/cowslipmoor/core/coldstart/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of the package. */
+@NullUnmarked
+package org.cowslipmoor.core.coldstart;
+
+import org.jspecify.annotations.NullUnmarked;
--- a/daemon/src/main/java/org/cowslipmoor/daemon/codec/FleetCodec.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/codec/FleetCodec.java
@@ -7,10 +7,15 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.cowslipmoor.core.coldstart.Allowance;
+import org.cowslipmoor.core.coldstart.AllowanceRequest;
 import org.cowslipmoor.core.discovery.TargetIncarnation;
 import org.cowslipmoor.core.fleet.FleetState;
 import org.cowslipmoor.core.fleet.HostReport;
 import org.cowslipmoor.core.range.KeyRange;
+import org.cowslipmoor.schema.fleet.ColdAllowance;
+import org.cowslipmoor.schema.fleet.ColdAllowanceRequest;
+import org.cowslipmoor.schema.fleet.ColdTargetRequests;
 import org.cowslipmoor.schema.fleet.KeyLoad;
 import org.cowslipmoor.schema.fleet.LeavingTarget;
 import org.cowslipmoor.schema.fleet.MovingRange;
@@ -133,6 +138,71 @@
         decodeLeaving(message.getLeavingList()));
   }
 
+  /** Converts a request for allowances to the schema's message. */
+  public static ColdAllowanceRequest encodeAllowanceRequest(AllowanceRequest request) {
+    return ColdAllowanceRequest.newBuilder()
+        .addAllTargets(encodeRequests(request.requests()))
+        .setSentAt(request.sentAt())
+        .build();
+  }
+
+  /**
+   * Converts a request for allowances from the schema's message.
+   *
+   * @throws IllegalArgumentException if the message is invalid
+   */
+  public static AllowanceRequest decodeAllowanceRequest(ColdAllowanceRequest message) {
+    return new AllowanceRequest(decodeRequests(message.getTargetsList()), message.getSentAt());
+  }
+
+  /** Converts an allowance to the schema's message. */
+  public static ColdAllowance encodeAllowance(Allowance allowance) {
+    return ColdAllowance.newBuilder()
+        .addAllTargets(encodeRequests(allowance.requests()))
+        .setEchoedAt(allowance.askedAt())
+        .setValidMillis((int) TimeUnit.NANOSECONDS.toMillis(allowance.validNanos()))
+        .build();
+  }
+
+  /**
+   * Converts an allowance from the schema's message.
+   *
+   * @throws IllegalArgumentException if the message is invalid
+   */
+  public static Allowance decodeAllowance(ColdAllowance message) {
+    return new Allowance(
+        decodeRequests(message.getTargetsList()),
+        message.getEchoedAt(),
+        TimeUnit.MILLISECONDS.toNanos(Integer.toUnsignedLong(message.getValidMillis())));
+  }
+
+  private static ImmutableList<ColdTargetRequests> encodeRequests(
+      ImmutableMap<TargetIncarnation, Integer> requests) {
+    return requests.entrySet().stream()
+        .map(
+            e ->
+                ColdTargetRequests.newBuilder()
+                    .setTarget(e.getKey().id())
+                    .setStartedAt(e.getKey().startedAt())
+                    .setRequests(e.getValue())
+                    .build())
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  private static ImmutableMap<TargetIncarnation, Integer> decodeRequests(
+      List<ColdTargetRequests> messages) {
+    ImmutableMap.Builder<TargetIncarnation, Integer> requests = ImmutableMap.builder();
+    for (ColdTargetRequests m : messages) {
+      checkArgument(!m.getTarget().isEmpty(), "a cold target has no id");
+      checkArgument(
+          m.getRequests() >= 0,
+          "%s requests to a cold target",
+          Integer.toUnsignedLong(m.getRequests()));
+      requests.put(new TargetIncarnation(m.getTarget(), m.getStartedAt()), m.getRequests());
+    }
+    return requests.buildOrThrow();
+  }
+
   private static LeavingTarget encodeLeaving(TargetIncarnation target) {
     return LeavingTarget.newBuilder()
         .setTarget(target.id())
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/Coordination.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/Coordination.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
@@ -178,6 +179,16 @@
     return leadership.leads(now()) ? leadership.lease() : null;
   }
 
+  /**
+   * Returns the term in which this host may hand out allowances for cold targets now; empty if its
+   * lease is not certain.
+   */
+  OptionalLong allowanceTerm() {
+    checkSuspension(now());
+    Leadership.Lease lease = lease();
+    return lease == null ? OptionalLong.empty() : OptionalLong.of(lease.term());
+  }
+
   /** Returns the key ranges that are being revoked from their owners. */
   public ImmutableList<FleetState.MovingRange> moving() {
     RangeCoordinator c = coordinator;
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
@@ -1,5 +1,6 @@
 package org.cowslipmoor.daemon.coordination;
 
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.net.HostAndPort;
 import io.netty.channel.EventLoopGroup;
@@ -8,10 +9,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.cowslipmoor.core.coldstart.Allowance;
+import org.cowslipmoor.core.coldstart.AllowanceLedger;
+import org.cowslipmoor.core.coldstart.AllowanceRequest;
+import org.cowslipmoor.core.coldstart.ColdLimit;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.discovery.TargetIncarnation;
 import org.cowslipmoor.core.fleet.FleetAggregator;
@@ -60,6 +66,8 @@
   private final FleetAggregator aggregator = FleetAggregator.create(System.nanoTime());
   private final LeavingReports leavingReports = LeavingReports.create();
   private final PredecessorNotifier predecessorNotifier = new PredecessorNotifier();
+  private final AllowanceLedger allowanceLedger = AllowanceLedger.create();
+  private AllowanceHandler allowanceHandler = AllowanceHandler.NONE;
   private StoreView.@Nullable Coordinator predecessor;
   private @Nullable Membership membership;
   private boolean isWritingMembers;
@@ -111,6 +119,55 @@
     links.listen(address.getHost(), address.getPort());
   }
 
+  /** Sets what knows the cold targets and receives the allowances. */
+  public void onAllowances(AllowanceHandler handler) {
+    allowanceHandler = handler;
+  }
+
+  /** Asks the coordinator for allowances for cold targets. */
+  public void ask(AllowanceRequest request) {
+    if (coordination.allowanceTerm().isPresent()) {
+      allowanceHandler.onAllowance(answer(request));
+      return;
+    }
+    StoreView.Coordinator coordinator = view.get().coordinator();
+    if (coordinator != null && !coordinator.host().equals(host)) {
+      links.send(
+          coordinator.host(),
+          Envelope.newBuilder()
+              .setColdAllowanceRequest(FleetCodec.encodeAllowanceRequest(request))
+              .build());
+    }
+  }
+
+  /** Decides on a request for allowances; hands out nothing unless this host's lease is certain. */
+  private Allowance answer(AllowanceRequest request) {
+    long now = System.nanoTime();
+    boolean leads = updateAllowanceTerm(now);
+    ImmutableMap.Builder<TargetIncarnation, Integer> handedOut = ImmutableMap.builder();
+    request
+        .requests()
+        .forEach(
+            (target, asked) -> {
+              int requests =
+                  leads
+                      ? allowanceHandler
+                          .coldLimit(target.id())
+                          .map(limit -> allowanceLedger.handOut(target.id(), asked, limit, now))
+                          .orElse(0)
+                      : 0;
+              allowanceHandler.onDecided(asked, requests);
+              handedOut.put(target, requests);
+            });
+    return new Allowance(handedOut.buildOrThrow(), request.sentAt(), ColdLimit.VALID_NANOS);
+  }
+
+  private boolean updateAllowanceTerm(long now) {
+    OptionalLong term = coordination.allowanceTerm();
+    term.ifPresent(t -> allowanceLedger.onTerm(t, now));
+    return term.isPresent();
+  }
+
   /** Sends the load report or fleet state that is due; must be called a few times a second. */
   public void tick() {
     HostReport own = ownReport();
@@ -185,6 +242,7 @@
    * every few tens of milliseconds.
    */
   public void relay() {
+    updateAllowanceTerm(System.nanoTime());
     if (!coordination.isCoordinator()) {
       return;
     }
@@ -214,6 +272,17 @@
       switch (frame.getContentCase()) {
         case HOST_REPORT -> onReport(from, FleetCodec.decodeReport(frame.getHostReport()));
         case FLEET_STATE -> onState(from, FleetCodec.decodeState(frame.getFleetState()));
+        case COLD_ALLOWANCE_REQUEST -> {
+          Allowance allowance =
+              answer(FleetCodec.decodeAllowanceRequest(frame.getColdAllowanceRequest()));
+          links.send(
+              from,
+              Envelope.newBuilder()
+                  .setColdAllowance(FleetCodec.encodeAllowance(allowance))
+                  .build());
+        }
+        case COLD_ALLOWANCE ->
+            allowanceHandler.onAllowance(FleetCodec.decodeAllowance(frame.getColdAllowance()));
         case STORE_NEWS -> store.onRelayedUpdates(frame.getStoreNews());
         default -> Logger.debug("host {} sent a frame of a type that is not handled here", from);
       }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
@@ -5,18 +5,24 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Maps;
+import com.google.common.collect.Sets;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.cowslipmoor.core.admission.Placement;
 import org.cowslipmoor.core.admission.RequestRequirements;
 import org.cowslipmoor.core.admission.TargetLoadBalancer;
+import org.cowslipmoor.core.coldstart.Allowance;
+import org.cowslipmoor.core.coldstart.AllowanceRequest;
+import org.cowslipmoor.core.coldstart.ColdLimit;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.discovery.TargetIncarnation;
+import org.cowslipmoor.core.discovery.TargetLimits;
 import org.cowslipmoor.core.fleet.FleetSize;
 import org.cowslipmoor.core.fleet.FleetState;
 import org.cowslipmoor.core.limit.MemoryBudget;
@@ -28,13 +34,15 @@
 import org.cowslipmoor.core.routing.ServiceDescription;
 import org.cowslipmoor.core.routing.SplitSelector;
 import org.cowslipmoor.core.selection.TargetSelector;
+import org.cowslipmoor.daemon.coordination.AllowanceHandler;
 import org.cowslipmoor.daemon.coordination.StoreView;
+import org.cowslipmoor.daemon.coordination.SuspensionDetector;
 import org.cowslipmoor.daemon.http.HttpConnections;
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
 
 /** Holds the state that all requests of one host share. Confined to the host's event loop. */
-public final class Gateway {
+public final class Gateway implements AllowanceHandler {
   /** Minimum delay of a periodic task at which the host is considered to lag behind its callers. */
   private static final long LAG_THRESHOLD_NANOS = 150_000_000L;
 
@@ -58,6 +66,11 @@
   private final GatewayLog log = new GatewayLog(System.nanoTime());
   private final CallerConnections callers = new CallerConnections();
   private final MemoryBudget bodyMemory = MemoryBudget.create(MAX_BODY_MEMORY_BYTES);
+  private final SuspensionDetector suspensionDetector =
+      new SuspensionDetector(
+          System.nanoTime(), TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis()));
+  private ImmutableSet<TargetIncarnation> loggedColdTargets = ImmutableSet.of();
+  private Consumer<AllowanceRequest> allowanceRequests = unused -> {};
   private SharedRetryBudget.Limits retryLimits;
 
   /** The store's view as it was read. */
@@ -100,6 +113,7 @@
     gauge(GatewayMetric.IN_PROGRESS, () -> inProgress);
     gauge(GatewayMetric.RANGE_TABLE, () -> view.table().version());
     gauge(GatewayMetric.TARGETS, () -> view.directory().all().size());
+    gauge(GatewayMetric.COLD_TARGETS, () -> selector.coldTargets(System.nanoTime()).size());
     gauge(GatewayMetric.CONFIGURATION, this::configurationVersion);
     gauge(GatewayMetric.BODY_MEMORY, bodyMemory::reservedBytes);
     gauge(GatewayMetric.UNEXPECTED_BYTES, connections::unexpectedBytesCount);
@@ -116,9 +130,24 @@
     selector.onDrainLimit(limitNanos);
   }
 
+  /** Applies new limits on the use of targets. */
+  public void onTargetLimits(TargetLimits limits) {
+    selector.onTargetLimits(limits);
+  }
+
+  /** Sets what sends this host's requests for allowances to the coordinator. */
+  public void onAllowanceRequests(Consumer<AllowanceRequest> sender) {
+    allowanceRequests = sender;
+  }
+
   /** Applies a new view of the store. */
   public void onView(StoreView newView, long now) {
+    RoutingConfiguration configuration = newView.configuration();
+    if (configuration != null) {
+      selector.onServices(configuration.services());
+    }
     selector.onTargets(newView.directory(), now);
+    logColdTargets(now);
     storeView = newView;
     updateView();
     fleetSize.onCount(newView.members().size(), now);
@@ -126,6 +155,17 @@
     closeUnusedConnections(now);
   }
 
+  private void logColdTargets(long now) {
+    ImmutableSet<TargetIncarnation> cold = selector.coldTargets(now);
+    for (TargetIncarnation target : Sets.difference(cold, loggedColdTargets)) {
+      log.onCold(
+          target,
+          selector.directory().find(target).map(DiscoveredTarget::warmUpMillis).orElse(0L),
+          now);
+    }
+    loggedColdTargets = cold;
+  }
+
   private void updateView() {
     view = storeView.withDirectory(selector.directory());
   }
@@ -234,21 +274,54 @@
    */
   Placement assign(
       String service, Set<String> excluded, RequestRequirements requirements, long now) {
-    return selector.assign(service, excluded, requirements, now);
+    Placement placement = selector.assign(service, excluded, requirements, now);
+    askForAllowances(now);
+    return placement;
+  }
+
+  private void askForAllowances(long now) {
+    selector
+        .nextAllowanceRequest(now)
+        .ifPresent(
+            request -> {
+              request.requests().values().forEach(n -> count(GatewayMetric.ALLOWANCES_ASKED, n));
+              allowanceRequests.accept(request);
+            });
+  }
+
+  @Override
+  public Optional<ColdLimit> coldLimit(String targetId) {
+    return selector.coldLimit(targetId);
+  }
+
+  @Override
+  public void onAllowance(Allowance allowance) {
+    selector.onAllowance(allowance, System.nanoTime());
+  }
+
+  @Override
+  public void onDecided(int asked, int handedOut) {
+    count(GatewayMetric.ALLOWANCES_HANDED_OUT, handedOut);
+    count(GatewayMetric.ALLOWANCES_DENIED, asked - handedOut);
+    log.onAllowances(asked, handedOut, System.nanoTime());
   }
 
   /**
    * Assigns a request to the owner of its key.
    *
    * @return {@link Placement.NoTarget} while the key has no owner, is being transferred, or its
-   *     owner has left
+   *     owner has left; {@link Placement.NoAllowance} while it is cold and the host has no
+   *     allowance for it
    */
   Placement assignToOwner(String service, int key, RequestRequirements requirements, long now) {
     Optional<TargetIncarnation> owner =
         isMoving(service, key) ? Optional.empty() : registeredOwner(service, key);
-    return owner.isEmpty()
-        ? new Placement.NoTarget()
-        : selector.assignToOwner(owner.get(), requirements, now);
+    if (owner.isEmpty()) {
+      return new Placement.NoTarget();
+    }
+    Placement placement = selector.assignToOwner(owner.get(), requirements, now);
+    askForAllowances(now);
+    return placement;
   }
 
   /** Returns whether a key's owner has left or drained for too long, and has no successor yet. */
@@ -267,8 +340,15 @@
     return fleet.tableVersion() >= view.table().version() && fleet.isMoving(service, key);
   }
 
-  /** Returns whether a request may still be written to a target that was chosen for it. */
+  /**
+   * Returns whether a request may still be written to a target that was chosen for it; spends the
+   * allowance if the target needs one.
+   */
   boolean mayReceive(DiscoveredTarget target, long now) {
+    long timeOfDay = TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis());
+    if (suspensionDetector.wasSuspended(now, timeOfDay)) {
+      selector.onSuspended();
+    }
     return selector.mayReceive(target, now);
   }
 
@@ -424,7 +504,11 @@
   }
 
   void count(GatewayMetric metric) {
-    metrics.counter(metric.name()).inc();
+    count(metric, 1);
+  }
+
+  private void count(GatewayMetric metric, int n) {
+    metrics.counter(metric.name()).inc(n);
   }
 
   void countRejection(ResultCode code) {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
@@ -88,6 +88,7 @@
   private long misdirectedTableVersion;
   private boolean mayHaveRun;
   private boolean retryReserved;
+  private boolean hasAwaitedAllowance;
   private boolean ended;
 
   GatewayExchange(
@@ -249,6 +250,8 @@
     Placement placement = choosePlacement(now);
     if (placement instanceof Placement.NoTarget && isKeyed()) {
       awaitOwner(now);
+    } else if (placement instanceof Placement.NoAllowance && isKeyed()) {
+      awaitAllowance(now);
     } else {
       send(placement);
     }
@@ -275,10 +278,28 @@
     return choosePlacement(now) instanceof Placement.Send && tryAcquireRetry(running, now);
   }
 
-  private void awaitOwner(long now) {
+  /** Waits for an allowance for the key's owner, which is cold, as for an owner. */
+  private void awaitAllowance(long now) {
+    if (!hasAwaitedAllowance) {
+      hasAwaitedAllowance = true;
+      gateway.count(GatewayMetric.ALLOWANCE_WAITS);
+    }
+    startOwnerWait(now);
+    if (now - ownerWaitUntil >= 0) {
+      send(new Placement.NoAllowance());
+    } else {
+      assignTargetLater(OWNER_CHECK_INTERVAL_NANOS);
+    }
+  }
+
+  private void startOwnerWait(long now) {
     if (ownerWaitUntil == 0) {
       ownerWaitUntil = now + Math.min(MAX_OWNER_WAIT_NANOS, (objectiveAt - startedAt) / 2);
     }
+  }
+
+  private void awaitOwner(long now) {
+    startOwnerWait(now);
     RequestHead callerHead = head;
     boolean hasOwnerLeft =
         callerHead != null
@@ -308,6 +329,13 @@
       }
       case Placement.Reject p ->
           reject(ResultCode.OVERLOADED, "no target can answer in time", p.retryAfterNanos());
+      case Placement.NoAllowance p -> {
+        gateway.count(GatewayMetric.ALLOWANCE_REJECTIONS);
+        reject(
+            ResultCode.OVERLOADED,
+            "only cold targets could serve the request",
+            NO_TARGET_RETRY_AFTER_NANOS);
+      }
       case Placement.NoTarget p ->
           reject(
               ResultCode.NO_TARGET,
@@ -318,7 +346,8 @@
 
   /**
    * Handles an attempt whose request was not written, because the target's time to leave passed
-   * after it had been chosen: places the request anew, which is no retry.
+   * after it had been chosen, or because the target is cold and the allowance for it was spent:
+   * places the request anew, which is no retry.
    */
   void onTargetLeft(DiscoveredTarget target) {
     attempt = null;
@@ -329,7 +358,7 @@
     } else {
       reject(
           ResultCode.NO_TARGET,
-          "the target left before the request was sent",
+          "the target could not receive the request any more",
           NO_TARGET_RETRY_AFTER_NANOS);
     }
   }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -140,6 +140,9 @@
             this::createReport,
             this::onFleetState,
             (target, from) -> gateway.onLeaving(ImmutableSet.of(target), from, System.nanoTime()));
+    gateway.onTargetLimits(settings.targetLimits());
+    gateway.onAllowanceRequests(fleet::ask);
+    fleet.onAllowances(gateway);
     commands.onLeaving(
         target -> gateway.onLeaving(ImmutableSet.of(target), "command", System.nanoTime()));
     metrics.registerGauge(
@@ -216,6 +219,7 @@
     settings = newSettings;
     gateway.onRetryLimits(retryLimits(newSettings));
     gateway.onDrainLimit(TimeUnit.MILLISECONDS.toNanos(newSettings.drainMillis()));
+    gateway.onTargetLimits(newSettings.targetLimits());
   }
 
   private static SharedRetryBudget.Limits retryLimits(GatewaySettings settings) {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayLog.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayLog.java
@@ -22,6 +22,10 @@
   private final LogLimit exceptions;
   private final LogLimit leaving;
   private final LogLimit sentToLeaving;
+  private final LogLimit cold;
+  private final LogLimit allowances;
+  private int allowancesAsked;
+  private int allowancesHandedOut;
 
   GatewayLog(long now) {
     rejections = LogLimit.create(MAX_LINES, PERIOD_NANOS, now);
@@ -30,6 +34,8 @@
     exceptions = LogLimit.create(MAX_LINES, PERIOD_NANOS, now);
     leaving = LogLimit.create(MAX_LINES, PERIOD_NANOS, now);
     sentToLeaving = LogLimit.create(MAX_LINES, PERIOD_NANOS, now);
+    cold = LogLimit.create(MAX_LINES, PERIOD_NANOS, now);
+    allowances = LogLimit.create(1, PERIOD_NANOS, now);
   }
 
   /**
@@ -145,6 +151,36 @@
     }
   }
 
+  /**
+   * Logs once a period what this host has decided as the coordinator on requests for allowances.
+   */
+  void onAllowances(int asked, int handedOut, long now) {
+    allowancesAsked += asked;
+    allowancesHandedOut += handedOut;
+    if (allowances.tryAcquire(now)) {
+      allowances.drainSuppressed();
+      Logger.info(
+          "event=allowances asked={} handed_out={} denied={}",
+          allowancesAsked,
+          allowancesHandedOut,
+          allowancesAsked - allowancesHandedOut);
+      allowancesAsked = 0;
+      allowancesHandedOut = 0;
+    }
+  }
+
+  /** Logs that the host has learnt that a target is cold. */
+  void onCold(TargetIncarnation target, long leftMillis, long now) {
+    if (cold.tryAcquire(now)) {
+      Logger.info(
+          "event=cold target={} life={} left_ms={} suppressed={}",
+          target.id(),
+          target.startedAt(),
+          leftMillis,
+          cold.drainSuppressed());
+    }
+  }
+
   /** Returns a task of the event loop that also logs the exception that it ends with. */
   Runnable logged(Runnable task) {
     return () -> {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayMetric.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayMetric.java
@@ -20,6 +20,19 @@
       "cowslipmoor_sent_to_leaving_total", "Requests sent to targets after that statement."),
   SENT_TO_LEAVING_SECONDS(
       "cowslipmoor_sent_to_leaving_seconds", "Time from that statement to such a request."),
+  ALLOWANCES_ASKED(
+      "cowslipmoor_allowances_asked_total", "Requests to cold targets that this host asked for."),
+  ALLOWANCES_HANDED_OUT(
+      "cowslipmoor_allowances_handed_out_total",
+      "Requests to cold targets that this host allowed as coordinator."),
+  ALLOWANCES_DENIED(
+      "cowslipmoor_allowances_denied_total",
+      "Requests to cold targets that this host did not allow as coordinator."),
+  ALLOWANCE_WAITS(
+      "cowslipmoor_allowance_waits_total", "Requests that waited because the key's owner is cold."),
+  ALLOWANCE_REJECTIONS(
+      "cowslipmoor_allowance_rejections_total",
+      "Requests refused because only cold targets were left."),
   ANSWER_SECONDS("cowslipmoor_answer_seconds", "Time from a request to its answer's end."),
   IN_PROGRESS("cowslipmoor_requests_in_progress", "Requests in progress."),
   CONFIGURATION("cowslipmoor_configuration_version", "Version of the configuration in force."),
@@ -30,6 +43,7 @@
   SETTINGS_CONTENT("cowslipmoor_settings_content", "Hash of the settings file in force."),
   SETTINGS_PENDING("cowslipmoor_settings_pending", "Changed settings that wait for a restart."),
   TARGETS("cowslipmoor_targets", "Targets that are known."),
+  COLD_TARGETS("cowslipmoor_cold_targets", "Targets known to be cold whose service limits them."),
   COORDINATOR("cowslipmoor_coordinator", "Whether this host coordinates: 1 or 0.");
 
   private final String exposedName;
--- a/daemon/src/test/java/org/cowslipmoor/daemon/codec/FleetCodecTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/codec/FleetCodecTest.java
@@ -8,11 +8,17 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import java.util.List;
 import java.util.stream.IntStream;
+import org.cowslipmoor.core.coldstart.Allowance;
+import org.cowslipmoor.core.coldstart.AllowanceRequest;
 import org.cowslipmoor.core.discovery.TargetIncarnation;
 import org.cowslipmoor.core.fleet.FleetState;
 import org.cowslipmoor.core.fleet.HostReport;
 import org.cowslipmoor.core.range.KeyRange;
+import org.cowslipmoor.schema.fleet.ColdAllowance;
+import org.cowslipmoor.schema.fleet.ColdAllowanceRequest;
+import org.cowslipmoor.schema.fleet.ColdTargetRequests;
 import org.cowslipmoor.schema.fleet.KeyLoad;
 import org.cowslipmoor.schema.fleet.LeavingTarget;
 import org.cowslipmoor.schema.member.Envelope;
@@ -46,6 +52,38 @@
     assertThat(FleetCodec.decodeState(FleetCodec.encodeState(state)), is(state));
   }
 
+  @Test
+  void allowancesAreDecodedAsEncoded() {
+    ImmutableMap<TargetIncarnation, Integer> requests =
+        ImmutableMap.of(
+            new TargetIncarnation("t", 1_796_000_000_000L), 2, new TargetIncarnation("u", -3), 0);
+    AllowanceRequest request = new AllowanceRequest(requests, -7);
+    Allowance allowance = new Allowance(requests, -7, 1_000_000_000L);
+
+    assertThat(
+        FleetCodec.decodeAllowanceRequest(FleetCodec.encodeAllowanceRequest(request)), is(request));
+    assertThat(FleetCodec.decodeAllowance(FleetCodec.encodeAllowance(allowance)), is(allowance));
+  }
+
+  /** Guards against a number beyond the range of int that would count as negative. */
+  @Test
+  void invalidAllowancesAreRejected() {
+    ColdTargetRequests nameless = ColdTargetRequests.newBuilder().setRequests(1).build();
+    ColdTargetRequests tooMany =
+        ColdTargetRequests.newBuilder().setTarget("t").setRequests(-1).build();
+    ColdTargetRequests valid =
+        ColdTargetRequests.newBuilder().setTarget("t").setRequests(1).build();
+    for (List<ColdTargetRequests> targets :
+        List.of(List.of(nameless), List.of(tooMany), List.of(valid, valid))) {
+      ColdAllowanceRequest request =
+          ColdAllowanceRequest.newBuilder().addAllTargets(targets).build();
+      ColdAllowance allowance = ColdAllowance.newBuilder().addAllTargets(targets).build();
+      assertThrows(
+          IllegalArgumentException.class, () -> FleetCodec.decodeAllowanceRequest(request));
+      assertThrows(IllegalArgumentException.class, () -> FleetCodec.decodeAllowance(allowance));
+    }
+  }
+
   @Test
   void inconsistentReportIsRejected() {
     org.cowslipmoor.schema.fleet.HostReport message =
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/FixedStore.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/FixedStore.java
@@ -14,8 +14,12 @@
  *
  * @param view the view that consumers receive
  * @param response delays the delivery of the view until it completes
+ * @param grantsLeases whether hosts can become coordinator
  */
-record FixedStore(StoreView view, CompletableFuture<Void> response) implements SharedStore {
+record FixedStore(StoreView view, CompletableFuture<Void> response, boolean grantsLeases)
+    implements SharedStore {
+  private static final Leadership.Lease LEASE = new Leadership.Lease(1, 1);
+
   @Override
   public void watch(Consumer<StoreView> onChange) {
     response.thenRun(() -> onChange.accept(view));
@@ -59,12 +63,15 @@
 
   @Override
   public CompletableFuture<ClaimResult> claim() {
-    return CompletableFuture.completedFuture(new ClaimResult(CallResult.UNKNOWN, null));
+    return CompletableFuture.completedFuture(
+        grantsLeases
+            ? new ClaimResult(CallResult.DONE, LEASE)
+            : new ClaimResult(CallResult.UNKNOWN, null));
   }
 
   @Override
   public CompletableFuture<CallResult> renew(Leadership.Lease lease) {
-    return CompletableFuture.completedFuture(CallResult.UNKNOWN);
+    return CompletableFuture.completedFuture(grantsLeases ? CallResult.DONE : CallResult.UNKNOWN);
   }
 
   @Override
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/LoopbackGateway.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/LoopbackGateway.java
@@ -51,6 +51,7 @@
   final ClientFactory clients = ClientFactory.builder().build();
 
   CompletableFuture<Void> storeResponse = CompletableFuture.completedFuture(null);
+  boolean grantsLeases;
   GatewayHost host;
   HeaderCodec headerCodec = new PlainHeaderCodec();
   long graceMillis = 600;
@@ -170,7 +171,7 @@
             settings(),
             group,
             group.next(),
-            new FixedStore(view, storeResponse),
+            new FixedStore(view, storeResponse, grantsLeases),
             new NoCommands(),
             headerCodec,
             new SplittableRandom(1));
--- a/experiment/src/main/java/org/cowslipmoor/experiment/Experiment.java
+++ b/experiment/src/main/java/org/cowslipmoor/experiment/Experiment.java
@@ -37,6 +37,7 @@
             BalanceCommand.class,
             PlacementCommand.class,
             LeavingCommand.class,
+            ColdCommand.class,
             OverloadCommand.class,
             FailuresCommand.class,
             CapacityCommand.class)
--- /dev/null
+++ b/testing/src/test/java/org/cowslipmoor/testing/coldstart/ColdStartProperties.java
@@ -0,0 +1,74 @@
+package org.cowslipmoor.testing.coldstart;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.allOf;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.stream.LongStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.cowslipmoor.testing.coldstart.ColdStartScenario.Start;
+import org.cowslipmoor.testing.coldstart.ColdStartScenario.Variant;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Checks how many requests reach a cold target in any second, over random orders of events. */
+final class ColdStartProperties {
+  private static final int SECONDS = 14;
+
+  /** Encoded length of one target in a frame, in bytes. */
+  private static final int TARGET_BYTES = 24;
+
+  private static final int FRAME_BYTES = 15;
+
+  private static ColdStartSimulation.Result run(ColdStartScenario scenario, long seed) {
+    return new ColdStartSimulation(
+            scenario,
+            request -> FRAME_BYTES + TARGET_BYTES * request.requests().size(),
+            allowance -> FRAME_BYTES + TARGET_BYTES * allowance.requests().size(),
+            seed)
+        .run(SECONDS);
+  }
+
+  private static ColdStartScenario faults(boolean keyed, Variant variant) {
+    return new ColdStartScenario(5, 3, 60, keyed, Start.FAULTS, variant);
+  }
+
+  /** Guards against a cold target that gets more requests in a second than it bears. */
+  @Property(tries = 300, seed = "61")
+  void coldTargetGetsNoMoreThanTheBoundInAnySecond(@ForAll long seed) {
+    assertThat(
+        (double) run(faults(false, Variant.CORRECT), seed).busiest(),
+        lessThanOrEqualTo(ColdStartSimulation.MAX_PER_SECOND));
+  }
+
+  @ParameterizedTest
+  @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "CORRECT")
+  void simulationFindsBrokenVariants(Variant variant) {
+    boolean isFound =
+        LongStream.range(0, 200)
+            .anyMatch(
+                seed ->
+                    run(faults(false, variant), seed).busiest()
+                        > ColdStartSimulation.MAX_PER_SECOND);
+    assertThat(isFound, is(true));
+  }
+
+  /** Guards against a limit that leaves cold targets idle, or starves those that join. */
+  @ParameterizedTest
+  @CsvSource({"19, THIRD", "19, ALL", "102, THIRD", "102, ALL"})
+  void coldTargetsAreUsedWithinTheBound(int hosts, Start start) {
+    int targets = 7 * hosts / 10;
+    ColdStartSimulation.Result r =
+        run(new ColdStartScenario(hosts, targets, 20, false, start, Variant.CORRECT), 1);
+
+    assertThat(
+        (double) r.busiest(),
+        allOf(greaterThan(2.0), lessThan(ColdStartSimulation.MAX_PER_SECOND)));
+    assertThat(r.firstWorkMillis(), lessThan(2_000L));
+  }
+}
