--- a/core/src/main/java/org/cowslipmoor/core/admission/TargetLoadBalancer.java
+++ b/core/src/main/java/org/cowslipmoor/core/admission/TargetLoadBalancer.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.random.RandomGenerator;
@@ -101,6 +102,13 @@
   /** Time of the last state that told the loads of targets, if there was one. */
   private OptionalLong loadsReceivedAt = OptionalLong.empty();
 
+  /** Restricts the room of targets. */
+  @FunctionalInterface
+  public interface RoomLimit {
+    /** Returns the room of a target, at most the given one and at least 0. */
+    double apply(DiscoveredTarget target, double room);
+  }
+
   private TargetLoadBalancer(String dataCentre, RandomGenerator random, boolean staysHome) {
     this.dataCentre = dataCentre;
     this.random = random;
@@ -159,6 +167,25 @@
       Set<String> excluded,
       RequestRequirements requirements,
       long now) {
+    return assign(targets, excluded, requirements, (target, room) -> room, now);
+  }
+
+  /**
+   * Assigns a request to one of several targets, some of which get no more than a part of what
+   * their loads allow.
+   *
+   * @param targets the candidates
+   * @param excluded ids of targets that must not be used
+   * @param requirements what the request requires of a target
+   * @param roomLimit restricts how many of the requests that are distributed now a target may get
+   * @param now current time
+   */
+  public Placement assign(
+      List<DiscoveredTarget> targets,
+      Set<String> excluded,
+      RequestRequirements requirements,
+      RoomLimit roomLimit,
+      long now) {
     List<DiscoveredTarget> usable =
         health.usable(targets, DiscoveredTarget::id, now).stream()
             .filter(t -> !excluded.contains(t.id()))
@@ -174,14 +201,14 @@
       (t.dataCentre().equals(dataCentre) ? home : away).add(t);
     }
     if (away.isEmpty() || home.isEmpty() || !staysHome) {
-      Placement placement = assignWithin(usable, requirements, now);
+      Placement placement = assignWithin(usable, requirements, roomLimit, now);
       m.recordPlacement(placement, dataCentre, SpilloverReason.NONE_USABLE);
       return placement;
     }
     updateSpillover(m, home, now);
-    Placement placement = assignWithin(home, requirements, now);
+    Placement placement = assignWithin(home, requirements, roomLimit, now);
     if (mayLeave(placement, m, requirements)) {
-      Placement elsewhere = assignAway(away, placement, requirements, now);
+      Placement elsewhere = assignAway(away, placement, requirements, roomLimit, now);
       placement = elsewhere == null ? placement : elsewhere;
     }
     m.recordPlacement(placement, dataCentre, SpilloverReason.SATURATED);
@@ -190,7 +217,10 @@
 
   /** Assigns a request to one of several targets, up to the limits of their queues. */
   private Placement assignWithin(
-      List<DiscoveredTarget> targets, RequestRequirements requirements, long now) {
+      List<DiscoveredTarget> targets,
+      RequestRequirements requirements,
+      RoomLimit roomLimit,
+      long now) {
     WaterFilling filling = WaterFilling.create(targets.size());
     double requests = 1;
     for (DiscoveredTarget t : targets) {
@@ -201,7 +231,7 @@
           staysHome || t.dataCentre().equals(dataCentre)
               ? 0
               : Spillover.pathNanos(serviceStats(t.service()).responseBytes);
-      filling.add(remaining, room, t.slots(), serviceNanos(t), extraNanos);
+      filling.add(remaining, roomLimit.apply(t, room), t.slots(), serviceNanos(t), extraNanos);
     }
     filling.distribute(requests);
     int chosen = filling.choose(random);
@@ -247,7 +277,11 @@
    * @return null if there is none, or if the path costs more than the waiting that it saves
    */
   private @Nullable Placement assignAway(
-      List<DiscoveredTarget> away, Placement home, RequestRequirements requirements, long now) {
+      List<DiscoveredTarget> away,
+      Placement home,
+      RequestRequirements requirements,
+      RoomLimit roomLimit,
+      long now) {
     double objectiveNanos = requirements.objectiveNanos() - Spillover.ROUND_TRIP_NANOS;
     WaterFilling filling = WaterFilling.create(away.size());
     double requests = 1;
@@ -260,7 +294,7 @@
       reported += reportedLoad(t);
       accepted += limit;
       double room = hasConnection(t) ? Math.max(0, limit - remaining) : 0;
-      filling.add(remaining, room, t.slots(), serviceNanos(t), 0);
+      filling.add(remaining, roomLimit.apply(t, room), t.slots(), serviceNanos(t), 0);
     }
     if (random.nextDouble() >= Spillover.acceptance(reported, accepted)) {
       return null;
@@ -299,6 +333,13 @@
         Spillover.inTimeLoad(target.slots(), serviceNanos(target), objectiveNanos));
   }
 
+  /** Returns a random one of the targets with the given probability; otherwise none. */
+  public Optional<DiscoveredTarget> sample(List<DiscoveredTarget> targets, double probability) {
+    return targets.isEmpty() || random.nextDouble() >= probability
+        ? Optional.empty()
+        : Optional.of(targets.get(random.nextInt(targets.size())));
+  }
+
   /** Decides whether a request can be served in time by the only target that may serve it. */
   public Placement admit(DiscoveredTarget target, RequestRequirements requirements, long now) {
     return admit(target, load(target, now), requirements, now);
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -141,6 +141,8 @@
             this::createReport,
             this::onFleetState,
             (target, from) -> gateway.onLeaving(ImmutableSet.of(target), from, System.nanoTime()));
+    gateway.onAllowanceRequests(fleet::ask);
+    fleet.onAllowances(gateway);
     commands.onLeaving(
         target -> gateway.onLeaving(ImmutableSet.of(target), "command", System.nanoTime()));
     metrics.registerGauge(
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/EvacuationTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/EvacuationTest.java
@@ -46,7 +46,7 @@
     private volatile long ageNanos;
 
     ChangingStore(StoreView view) {
-      super(view, CompletableFuture.completedFuture(null));
+      super(view, CompletableFuture.completedFuture(null), false);
       this.view = view;
     }
 
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/FixedStore.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/FixedStore.java
@@ -11,18 +11,23 @@
 
 /** A store with a fixed view and no writes. */
 class FixedStore implements SharedStore {
+  private static final Leadership.Lease LEASE = new Leadership.Lease(1, 1);
+
   private final StoreView view;
   private final CompletableFuture<Void> response;
+  private final boolean grantsLeases;
 
   /**
    * Creates a store.
    *
    * @param view the view that consumers receive
    * @param response delays the delivery of the view until it completes
+   * @param grantsLeases whether hosts can become coordinator
    */
-  FixedStore(StoreView view, CompletableFuture<Void> response) {
+  FixedStore(StoreView view, CompletableFuture<Void> response, boolean grantsLeases) {
     this.view = view;
     this.response = response;
+    this.grantsLeases = grantsLeases;
   }
 
   @Override
@@ -68,12 +73,15 @@
 
   @Override
   public CompletableFuture<ClaimResult> claim() {
-    return CompletableFuture.completedFuture(new ClaimResult(CallResult.UNKNOWN, null));
+    return CompletableFuture.completedFuture(
+        grantsLeases
+            ? new ClaimResult(CallResult.DONE, LEASE)
+            : new ClaimResult(CallResult.UNKNOWN, null));
   }
 
   @Override
   public CompletableFuture<CallResult> renew(Leadership.Lease lease) {
-    return CompletableFuture.completedFuture(CallResult.UNKNOWN);
+    return CompletableFuture.completedFuture(grantsLeases ? CallResult.DONE : CallResult.UNKNOWN);
   }
 
   @Override
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/LoopbackGateway.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/LoopbackGateway.java
@@ -53,6 +53,7 @@
   final ClientFactory clients = ClientFactory.builder().build();
 
   CompletableFuture<Void> storeResponse = CompletableFuture.completedFuture(null);
+  boolean grantsLeases;
   GatewayHost host;
   HeaderCodec headerCodec = new PlainHeaderCodec();
   long graceMillis = 600;
@@ -168,7 +169,7 @@
   }
 
   WebClient start(StoreView view) throws Exception {
-    return start(new FixedStore(view, storeResponse));
+    return start(new FixedStore(view, storeResponse, grantsLeases));
   }
 
   WebClient start(SharedStore store) throws Exception {
