--- a/core/src/main/java/org/cowslipmoor/core/admission/TargetLoadBalancer.java
+++ b/core/src/main/java/org/cowslipmoor/core/admission/TargetLoadBalancer.java
@@ -91,6 +91,13 @@
   private static final long MIN_RETRY_AFTER_NANOS = 100 * NANOS_PER_MILLI;
   private static final double MAX_EJECTED_SHARE = 1.0 / 3;
 
+  /** Restricts the room of targets. */
+  @FunctionalInterface
+  public interface RoomLimit {
+    /** Returns the room of a target, at most the given one and at least 0. */
+    double apply(DiscoveredTarget target, double room);
+  }
+
   private final String dataCentre;
   private final RandomGenerator random;
   private final boolean staysHome;
@@ -102,13 +109,6 @@
   /** Time of the last state that told the loads of targets, if there was one. */
   private OptionalLong loadsReceivedAt = OptionalLong.empty();
 
-  /** Restricts the room of targets. */
-  @FunctionalInterface
-  public interface RoomLimit {
-    /** Returns the room of a target, at most the given one and at least 0. */
-    double apply(DiscoveredTarget target, double room);
-  }
-
   private TargetLoadBalancer(String dataCentre, RandomGenerator random, boolean staysHome) {
     this.dataCentre = dataCentre;
     this.random = random;
@@ -637,6 +637,7 @@
         switch (reason) {
           case SATURATED -> leftSaturated++;
           case NONE_USABLE -> leftNoneUsable++;
+          default -> throw new IllegalArgumentException("unknown reason: " + reason);
         }
       }
     }
