Give keys to cold targets only if no warm one can take them

Cause: the planner gives keys to a target that has just started, and the requests for them then wait for allowances.

Change: the coordinator's inputs name the cold targets. First assignments, moves and new owners of free keys use the warm targets of the service, or all if none is warm. A denied request for an allowance makes the interval to the next one four times as long (was: twice), since keyed requests ask again while they wait.

While all targets are cold, most requests are rejected as not run.

--- a/core/src/main/java/org/cowslipmoor/core/coldstart/AllowanceStock.java
+++ b/core/src/main/java/org/cowslipmoor/core/coldstart/AllowanceStock.java
@@ -21,8 +21,8 @@
 
   /**
    * Longest time between two requests for allowances for one target while they are denied. Each
-   * denial doubles the interval, so that the requests of many hosts for one target don't occupy the
-   * coordinator's link.
+   * denial makes the interval four times as long, so that the requests of many hosts for one target
+   * don't occupy the coordinator's link.
    */
   private static final long MAX_ASK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
@@ -107,7 +107,7 @@
                 s.batches.add(new Batch(expiresAt, requests));
                 s.intervalNanos = MIN_ASK_INTERVAL_NANOS;
               } else {
-                s.intervalNanos = Math.min(2 * s.intervalNanos, MAX_ASK_INTERVAL_NANOS);
+                s.intervalNanos = Math.min(4 * s.intervalNanos, MAX_ASK_INTERVAL_NANOS);
               }
             });
     // What arrives after its time must not count as held.
--- a/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
@@ -301,7 +301,8 @@
         continue;
       }
       ImmutableList<RangeEntry> entries =
-          new RangePlanner(targets, load(service, inputs)).initialAssignment(service, lastFence);
+          new RangePlanner(inputs.preferred(targets), load(service, inputs))
+              .initialAssignment(service, lastFence);
       entries.forEach(e -> states.add(new EntryState(e, now)));
       lastFence += entries.size();
       isWriteNeeded = true;
@@ -326,7 +327,8 @@
     }
     nextRebalanceAt = now + timing.rebalanceIntervalNanos();
     for (String service : inputs.services()) {
-      ImmutableList<DiscoveredTarget> targets = eligibleTargets(now, service, inputs.directory());
+      ImmutableList<DiscoveredTarget> targets =
+          inputs.preferred(eligibleTargets(now, service, inputs.directory()));
       if (targets.size() < 2) {
         continue;
       }
@@ -408,16 +410,18 @@
 
   private Optional<DiscoveredTarget> chooseOwner(EntryState s, RangeInputs inputs) {
     TargetDirectory directory = inputs.directory();
-    DiscoveredTarget planned = s.destination;
-    if (planned != null && directory.isUsable(planned.incarnation())) {
-      return Optional.of(planned);
-    }
     String service = s.entry.service();
     ImmutableList<DiscoveredTarget> usable = directory.usable(service);
     ImmutableList<DiscoveredTarget> targets =
-        usable.stream()
-            .filter(t -> !t.incarnation().equals(s.entry.owner()))
-            .collect(ImmutableList.toImmutableList());
+        inputs.preferred(
+            usable.stream()
+                .filter(t -> !t.incarnation().equals(s.entry.owner()))
+                .collect(ImmutableList.toImmutableList()));
+    DiscoveredTarget planned = s.destination;
+    if (planned != null
+        && targets.stream().anyMatch(t -> t.incarnation().equals(planned.incarnation()))) {
+      return Optional.of(planned);
+    }
     if (targets.isEmpty()) {
       // At most the present owner is usable. One that drains and has released the keys still serves
       // while no other target can.
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/Coordination.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/Coordination.java
@@ -11,6 +11,7 @@
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.cowslipmoor.core.discovery.TargetIncarnation;
 import org.cowslipmoor.core.fleet.CoordinationLoad;
 import org.cowslipmoor.core.fleet.FleetState;
 import org.cowslipmoor.core.range.Leadership;
@@ -46,6 +47,7 @@
   private final LongSupplier timeOfDay;
   private final SuspensionDetector suspensionDetector;
   private final OwnershipLog log;
+  private Supplier<ImmutableSet<TargetIncarnation>> coldTargets = ImmutableSet::of;
   private Runnable onReleaseStarted = () -> {};
   private @Nullable RangeCoordinator coordinator;
   private boolean isReadingTable;
@@ -169,6 +171,11 @@
     onReleaseStarted = listener;
   }
 
+  /** Sets what knows the cold targets, which get keys only if no others can take them. */
+  public void onColdTargets(Supplier<ImmutableSet<TargetIncarnation>> supplier) {
+    coldTargets = supplier;
+  }
+
   /** Returns whether this host is the coordinator. */
   public boolean isCoordinator() {
     return coordinator != null;
@@ -289,7 +296,8 @@
         services,
         v.directory(),
         service -> loads.computeIfAbsent(service, serviceLoads),
-        leadership.isRecentlyRenewed(now));
+        leadership.isRecentlyRenewed(now),
+        coldTargets.get());
   }
 
   private void perform(RangeCoordinator c, RangeAction action) {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
@@ -113,7 +113,7 @@
     gauge(GatewayMetric.IN_PROGRESS, () -> inProgress);
     gauge(GatewayMetric.RANGE_TABLE, () -> view.table().version());
     gauge(GatewayMetric.TARGETS, () -> view.directory().all().size());
-    gauge(GatewayMetric.COLD_TARGETS, () -> selector.coldTargets(System.nanoTime()).size());
+    gauge(GatewayMetric.COLD_TARGETS, () -> coldTargets(System.nanoTime()).size());
     gauge(GatewayMetric.CONFIGURATION, this::configurationVersion);
     gauge(GatewayMetric.BODY_MEMORY, bodyMemory::reservedBytes);
     gauge(GatewayMetric.UNEXPECTED_BYTES, connections::unexpectedBytesCount);
@@ -155,8 +155,13 @@
     closeUnusedConnections(now);
   }
 
+  /** Returns the registered targets that are cold and have a limit. */
+  ImmutableSet<TargetIncarnation> coldTargets(long now) {
+    return selector.coldTargets(now);
+  }
+
   private void logColdTargets(long now) {
-    ImmutableSet<TargetIncarnation> cold = selector.coldTargets(now);
+    ImmutableSet<TargetIncarnation> cold = coldTargets(now);
     for (TargetIncarnation target : Sets.difference(cold, loggedColdTargets)) {
       log.onCold(
           target,
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -143,6 +143,7 @@
     gateway.onTargetLimits(settings.targetLimits());
     gateway.onAllowanceRequests(fleet::ask);
     fleet.onAllowances(gateway);
+    coordination.onColdTargets(() -> gateway.coldTargets(System.nanoTime()));
     commands.onLeaving(
         target -> gateway.onLeaving(ImmutableSet.of(target), "command", System.nanoTime()));
     metrics.registerGauge(
--- a/testing/src/main/java/org/cowslipmoor/testing/coldstart/ColdStartSimulation.java
+++ b/testing/src/main/java/org/cowslipmoor/testing/coldstart/ColdStartSimulation.java
@@ -70,7 +70,8 @@
   private int leader;
   private long term;
   private long leaseEndsAt;
-  private long framesHeldUntil;
+  private long requestsHeldUntil;
+  private long allowancesHeldUntil;
 
   /** Time until which hosts take the coordinator that they know for the present one. */
   private long coordinatorKnownAgainAt;
@@ -204,7 +205,7 @@
   /** Lets something fail, and schedules the next failure. */
   private void fail() {
     long until = events.now() + random.nextLong(3 * NANOS_PER_SECOND);
-    switch (random.nextInt(9)) {
+    switch (random.nextInt(10)) {
       case 0 -> targets.forEach(SimulatedTarget::restart);
       case 1, 2 -> targets.get(random.nextInt(targets.size())).restart();
       case 3 -> changeCoordinator();
@@ -216,7 +217,8 @@
         host.restart();
       }
       case 5 -> hosts.get(random.nextInt(hosts.size())).cutOffUntil = until;
-      case 6 -> framesHeldUntil = until;
+      case 6 -> requestsHeldUntil = until;
+      case 9 -> allowancesHeldUntil = until;
       case 7 -> targets.get(random.nextInt(targets.size())).connectsHeldUntil = until;
       default -> coordinatorKnownAgainAt = until;
     }
@@ -234,10 +236,14 @@
         random.nextBoolean() ? 0 : random.nextLong(NANOS_PER_SECOND), () -> startTerm(next));
   }
 
-  /** Returns the time that a frame takes; links hold some back, and deliver them together. */
-  private long frameDelay() {
+  /**
+   * Returns the time that a frame takes; links hold some back, and deliver them together.
+   *
+   * @param heldUntil time until which the link holds frames of this direction
+   */
+  private long frameDelay(long heldUntil) {
     long delay = NANOS_PER_MILLI + random.nextLong(5 * NANOS_PER_MILLI);
-    return Math.max(0, framesHeldUntil - events.now()) + delay;
+    return Math.max(0, heldUntil - events.now()) + delay;
   }
 
   /** A target as it is, and its entry in the store. */
@@ -453,7 +459,7 @@
       countBytes(requestBytes.applyAsInt(request));
       if (!isCutOff() && !to.isCutOff()) {
         to.countBytes(requestBytes.applyAsInt(request));
-        events.after(frameDelay(), () -> to.answerTo(this, request));
+        events.after(frameDelay(requestsHeldUntil), () -> to.answerTo(this, request));
       }
     }
 
@@ -464,7 +470,7 @@
                 countBytes(allowanceBytes.applyAsInt(a));
                 if (!isCutOff() && !host.isCutOff()) {
                   host.countBytes(allowanceBytes.applyAsInt(a));
-                  events.after(frameDelay(), () -> host.onAllowance(a));
+                  events.after(frameDelay(allowancesHeldUntil), () -> host.onAllowance(a));
                 }
               });
     }
