--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -150,6 +150,7 @@
             (target, from) -> gateway.onLeaving(ImmutableSet.of(target), from, System.nanoTime()));
     gateway.onAllowanceRequests(fleet::ask);
     fleet.onAllowances(gateway);
+    coordination.onColdTargets(() -> gateway.coldTargets(System.nanoTime()));
     commands.onLeaving(
         target -> gateway.onLeaving(ImmutableSet.of(target), "command", System.nanoTime()));
     metrics.registerGauge(
