Find out failing targets once for all hosts

Cause: each host found out a failing target by three failures of its own, and a target that fails at once looked idle. Change: hosts report failures by target and their data centre; FailingTargets at the coordinator adds them up, publishes failing targets for all hosts or those of one data centre, and names one host at a time for trials. TargetHealth ejects published targets while the state is at most 1.5 s old. In the choice of targets for requests without an owner, a failure counts as a request in progress for the expected service time. At most a third of a service's targets is published. Conclusion: hosts no longer find out one by one.

--- a/core/src/main/java/org/cowslipmoor/core/admission/TargetLoadBalancer.java
+++ b/core/src/main/java/org/cowslipmoor/core/admission/TargetLoadBalancer.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.Maps;
+import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -85,18 +86,23 @@
   /** Maximum number of requests in progress of one host at one target. */
   private static final int MAX_IN_FLIGHT_PER_TARGET = 8;
 
+  /** Bound on the memory for failures of a target; more than any target has room for. */
+  private static final int MAX_COUNTED_FAILURES = 1_000;
+
   private static final long MIN_RETRY_AFTER_NANOS = 100 * NANOS_PER_MILLI;
   private static final double MAX_EJECTED_SHARE = 1.0 / 3;
 
   private final String dataCentre;
+  private final String host;
   private final RandomGenerator random;
   private final TargetHealth health = TargetHealth.create(MAX_EJECTED_SHARE);
   private final Map<String, TargetStats> statsByTarget = new HashMap<>();
   private final Map<String, ServiceStats> statsByService = new HashMap<>();
   private ImmutableMap<String, Integer> connectionShares = ImmutableMap.of();
 
-  private TargetLoadBalancer(String dataCentre, RandomGenerator random) {
+  private TargetLoadBalancer(String dataCentre, String host, RandomGenerator random) {
     this.dataCentre = dataCentre;
+    this.host = host;
     this.random = random;
   }
 
@@ -107,7 +113,16 @@
    * @param random draws the targets of requests
    */
   public static TargetLoadBalancer create(String dataCentre, RandomGenerator random) {
-    return new TargetLoadBalancer(dataCentre, random);
+    return create(dataCentre, "", random);
+  }
+
+  /**
+   * Creates the load balancer of a host that may be named to try failing targets.
+   *
+   * @param host the host's id
+   */
+  public static TargetLoadBalancer create(String dataCentre, String host, RandomGenerator random) {
+    return new TargetLoadBalancer(dataCentre, host, random);
   }
 
   /**
@@ -155,6 +170,7 @@
     for (DiscoveredTarget t : usable) {
       double remaining = remainingLoad(t, now);
       requests += reportedLoad(t) - remaining;
+      remaining += stats(t).failuresInProgress(now);
       double room = hasConnection(t) ? Math.max(0, maxLoad(t) - remaining) : 0;
       filling.add(remaining, room, t.slots(), serviceNanos(t), crossDataCentreNanos(t));
     }
@@ -240,7 +256,10 @@
   /** Records a failure: target unreachable, connection lost, timeout, or an error response. */
   public void onFailure(DiscoveredTarget target, long now) {
     health.onFailure(target.id(), now);
-    stats(target).inFlight--;
+    TargetStats s = stats(target);
+    s.inFlight--;
+    s.newFailures++;
+    s.recordFailure(now + (long) serviceNanos(target));
   }
 
   /** Records that a request ended without information about the target. */
@@ -267,11 +286,14 @@
     statsByTarget.forEach(
         (id, s) -> {
           s.reportedInFlight = s.inFlight;
-          if (s.inFlight > 0 || s.newResponses > 0) {
+          if (s.inFlight > 0 || s.newResponses > 0 || s.newFailures > 0) {
             samples.put(
-                id, new HostReport.TargetSample(s.inFlight, s.newResponses, s.newServiceNanos));
+                id,
+                new HostReport.TargetSample(
+                    s.inFlight, s.newResponses, s.newServiceNanos, s.newFailures));
           }
           s.newResponses = 0;
+          s.newFailures = 0;
           s.newServiceNanos = 0;
         });
     return samples.buildOrThrow();
@@ -279,6 +301,14 @@
 
   /** Applies the state that is aggregated from the reports of all hosts. */
   public void onFleetState(FleetState fleet, long now) {
+    Map<String, Boolean> failing = new HashMap<>();
+    for (FleetState.FailingTarget f : fleet.failing()) {
+      if (f.dataCentre().isEmpty() || f.dataCentre().equals(dataCentre)) {
+        boolean mayTry = !host.isEmpty() && f.trialHost().equals(host);
+        failing.merge(f.target(), mayTry, Boolean::logicalAnd);
+      }
+    }
+    health.onPublished(failing, now);
     fleet
         .targets()
         .forEach(
@@ -397,9 +427,32 @@
     double queueNanosAtSend;
     int reportedInFlight;
     int newResponses;
+    int newFailures;
+
+    /** Times at which responses would have come in place of failures, in order. */
+    private final ArrayDeque<Long> failuresUntil = new ArrayDeque<>();
+
     long newServiceNanos;
     long fleetServiceNanos;
 
+    void recordFailure(long until) {
+      if (failuresUntil.size() == MAX_COUNTED_FAILURES) {
+        failuresUntil.removeFirst();
+      }
+      failuresUntil.add(until);
+    }
+
+    /**
+     * Returns the failed requests that would still be in progress if they had been answered, so
+     * that a target that fails fast does not look idle.
+     */
+    int failuresInProgress(long now) {
+      while (!failuresUntil.isEmpty() && now - failuresUntil.getFirst() >= 0) {
+        failuresUntil.removeFirst();
+      }
+      return failuresUntil.size();
+    }
+
     void recordOthers(int requests, long ageNanos, long now) {
       othersInFlight = Math.max(0, requests);
       othersAgeNanos = ageNanos;
--- a/core/src/main/java/org/cowslipmoor/core/balance/TargetHealth.java
+++ b/core/src/main/java/org/cowslipmoor/core/balance/TargetHealth.java
@@ -8,13 +8,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Detects failing targets by the outcomes of this host's own requests and ejects them for a limited
  * time (passive outlier detection). When an ejection ends, the target receives one trial request;
  * if that fails, the target is ejected for twice as long. The share of a service's targets that are
  * ejected at the same time is bounded, so that a fault of this host's own network does not eject
- * all of them. Not thread-safe; times are nanoseconds.
+ * all of them. Targets that the coordinator publishes as failing for all hosts are ejected as well,
+ * and tried by the host that it names. Not thread-safe; times are nanoseconds.
  *
  * <pre>{@code
  * TargetHealth health = TargetHealth.create(1.0 / 3);
@@ -31,9 +33,17 @@
   /** Time after which a trial without an outcome is given up. */
   private static final long TRIAL_TIMEOUT_NANOS = 2_000_000_000L;
 
+  /** Age from which on the targets that the coordinator has published as failing are ignored. */
+  private static final long MAX_PUBLISHED_AGE_NANOS = 1_500_000_000L;
+
   private final double maxEjectedShare;
   private final Map<String, FailureRecord> recordsByTarget = new HashMap<>();
 
+  /** The published targets, with whether this host may try them. */
+  private Map<String, Boolean> published = Map.of();
+
+  private long publishedAt;
+
   private TargetHealth(double maxEjectedShare) {
     this.maxEjectedShare = maxEjectedShare;
   }
@@ -68,6 +78,28 @@
     }
   }
 
+  /**
+   * Records which targets fail by the outcomes of all hosts' requests. They are ejected for as long
+   * as they are published, whatever this host has seen of them; one that no longer is counts as
+   * healthy.
+   *
+   * @param failing ids of the targets, with whether this host may send a trial request
+   */
+  public void onPublished(Map<String, Boolean> failing, long now) {
+    for (String target : published.keySet()) {
+      if (!failing.containsKey(target)) {
+        recordsByTarget.remove(target);
+      }
+    }
+    published = Map.copyOf(failing);
+    publishedAt = now;
+  }
+
+  /** Returns whether this host may try a target that is published as failing; null if it isn't. */
+  private @Nullable Boolean mayTry(String target, long now) {
+    return now - publishedAt < MAX_PUBLISHED_AGE_NANOS ? published.get(target) : null;
+  }
+
   /** Ejects a target immediately, for instance because it reported that it is stopping. */
   public void eject(String target, long now) {
     FailureRecord r = recordsByTarget.computeIfAbsent(target, unused -> new FailureRecord());
@@ -86,13 +118,12 @@
    * @param now current time
    */
   public <T> List<T> usable(List<T> targets, Function<T, String> id, long now) {
-    if (recordsByTarget.isEmpty()) {
+    if (recordsByTarget.isEmpty() && published.isEmpty()) {
       return targets;
     }
     List<T> ejected = new ArrayList<>();
     for (T t : targets) {
-      FailureRecord r = recordsByTarget.get(id.apply(t));
-      if (r != null && r.isEjected(now)) {
+      if (isEjected(id.apply(t), now)) {
         ejected.add(t);
       }
     }
@@ -100,7 +131,11 @@
     if (ejected.size() > maxEjected) {
       // Targets whose last failure is the oldest are included again first, since they are the most
       // likely to have recovered, even if their ejections last longer than those of others.
-      ejected.sort(Comparator.comparingLong((T t) -> failedAt(id.apply(t))).reversed());
+      // Those that fail for all hosts stay ejected, since their trials are limited.
+      ejected.sort(
+          Comparator.comparing((T t) -> mayTry(id.apply(t), now) != null)
+              .thenComparingLong(t -> failedAt(id.apply(t)))
+              .reversed());
       ejected = ejected.subList(0, maxEjected);
     }
     List<T> result = new ArrayList<>(targets);
@@ -110,8 +145,12 @@
 
   /** Records that a request is sent; after an ejection it is the target's trial request. */
   public void onSend(String target, long now) {
-    FailureRecord r = recordsByTarget.get(target);
-    if (r != null && r.ejections > 0 && !r.isInEjectionPeriod(now)) {
+    boolean isTrial = Boolean.TRUE.equals(mayTry(target, now));
+    FailureRecord r =
+        isTrial
+            ? recordsByTarget.computeIfAbsent(target, unused -> new FailureRecord())
+            : recordsByTarget.get(target);
+    if (r != null && (isTrial || (r.ejections > 0 && !r.isInEjectionPeriod(now)))) {
       r.hasTrial = true;
       r.trialAt = now;
     }
@@ -122,6 +161,10 @@
    */
   public boolean isEjected(String target, long now) {
     FailureRecord r = recordsByTarget.get(target);
+    Boolean mayTry = mayTry(target, now);
+    if (mayTry != null) {
+      return !mayTry || (r != null && r.isOnTrial(now));
+    }
     return r != null && r.isEjected(now);
   }
 
@@ -152,8 +195,11 @@
     }
 
     boolean isEjected(long now) {
-      boolean trialInProgress = hasTrial && now - trialAt < TRIAL_TIMEOUT_NANOS;
-      return isInEjectionPeriod(now) || trialInProgress;
+      return isInEjectionPeriod(now) || isOnTrial(now);
+    }
+
+    boolean isOnTrial(long now) {
+      return hasTrial && now - trialAt < TRIAL_TIMEOUT_NANOS;
     }
   }
 }
--- a/core/src/main/java/org/cowslipmoor/core/fleet/FleetAggregator.java
+++ b/core/src/main/java/org/cowslipmoor/core/fleet/FleetAggregator.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Maps;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -43,6 +44,7 @@
   private static final double MAX_SPEED = 4;
 
   private final KeyLoadMeter keyLoad;
+  private final FailingTargets failingTargets = new FailingTargets();
   private final Map<String, ReceivedReport> reports = new HashMap<>();
   private final Map<String, ServiceTime> serviceTimes = new HashMap<>();
 
@@ -83,6 +85,7 @@
                 serviceTimes
                     .computeIfAbsent(target, unused -> new ServiceTime(now))
                     .add(s.responses(), s.serviceNanos(), now));
+    failingTargets.onReport(host, report.dataCentre(), report.targets(), now);
     ImmutableSet<TargetIncarnation> newTargets =
         report.leaving().stream()
             .filter(
@@ -109,6 +112,7 @@
   public void onTargets(Collection<DiscoveredTarget> targets) {
     registered =
         targets.stream().map(DiscoveredTarget::incarnation).collect(ImmutableSet.toImmutableSet());
+    failingTargets.onTargets(targets);
     serviceTimes
         .keySet()
         .retainAll(targets.stream().map(DiscoveredTarget::id).collect(Collectors.toSet()));
@@ -150,7 +154,8 @@
         relaysStore,
         leavingReportedAt.keySet().stream()
             .filter(registered::contains)
-            .collect(ImmutableSet.toImmutableSet()));
+            .collect(ImmutableSet.toImmutableSet()),
+        failingTargets.update(Maps.transformValues(reports, r -> r.report().dataCentre()), now));
   }
 
   /**
--- a/core/src/main/java/org/cowslipmoor/core/fleet/FleetState.java
+++ b/core/src/main/java/org/cowslipmoor/core/fleet/FleetState.java
@@ -17,6 +17,7 @@
  * @param relaysStore whether the coordinator relays store updates to the hosts
  * @param leaving registered targets that hosts have recently reported as leaving; says nothing
  *     about other targets
+ * @param failing targets that are ejected for all hosts or those of one data centre
  */
 public record FleetState(
     int hosts,
@@ -25,13 +26,36 @@
     ImmutableList<MovingRange> moving,
     ImmutableSet<String> candidates,
     boolean relaysStore,
-    ImmutableSet<TargetIncarnation> leaving) {
+    ImmutableSet<TargetIncarnation> leaving,
+    ImmutableList<FailingTarget> failing) {
 
   /** The state before the first one is received. */
   public static final FleetState UNKNOWN =
       new FleetState(
           1, ImmutableMap.of(), 0, ImmutableList.of(), ImmutableSet.of(), false, ImmutableSet.of());
 
+  /** Creates a state in which no target is failing. */
+  public FleetState(
+      int hosts,
+      ImmutableMap<String, TargetState> targets,
+      long tableVersion,
+      ImmutableList<MovingRange> moving,
+      ImmutableSet<String> candidates,
+      boolean relaysStore,
+      ImmutableSet<TargetIncarnation> leaving) {
+    this(
+        hosts, targets, tableVersion, moving, candidates, relaysStore, leaving, ImmutableList.of());
+  }
+
+  /**
+   * A target that is ejected.
+   *
+   * @param target its id
+   * @param dataCentre the data centre of the hosts that must not use it; empty for all hosts
+   * @param trialHost the host that may send it a trial request; empty if none may
+   */
+  public record FailingTarget(String target, String dataCentre, String trialHost) {}
+
   /**
    * The state of one target, over all hosts.
    *
@@ -51,13 +75,13 @@
   /** Returns this state without the load of targets. */
   public FleetState withoutTargets() {
     return new FleetState(
-        hosts, ImmutableMap.of(), tableVersion, moving, candidates, relaysStore, leaving);
+        hosts, ImmutableMap.of(), tableVersion, moving, candidates, relaysStore, leaving, failing);
   }
 
   /** Returns this state without the leaving targets. */
   public FleetState withoutLeaving() {
     return new FleetState(
-        hosts, targets, tableVersion, moving, candidates, relaysStore, ImmutableSet.of());
+        hosts, targets, tableVersion, moving, candidates, relaysStore, ImmutableSet.of(), failing);
   }
 
   /** Returns whether a key is being revoked from its owner. */
--- a/core/src/main/java/org/cowslipmoor/core/fleet/HostReport.java
+++ b/core/src/main/java/org/cowslipmoor/core/fleet/HostReport.java
@@ -13,6 +13,7 @@
  * @param approvals joining hosts that the host approves
  * @param leaving targets that the host knows to be leaving; says nothing about other targets
  * @param sentAt the host's steady clock when it sent the report, in nanoseconds
+ * @param dataCentre the host's data centre; empty if it does not state it
  */
 public record HostReport(
     ImmutableMap<String, ImmutableMap<Integer, Integer>> keyLoads,
@@ -20,7 +21,19 @@
     long storeRevision,
     ImmutableSet<String> approvals,
     ImmutableSet<TargetIncarnation> leaving,
-    long sentAt) {
+    long sentAt,
+    String dataCentre) {
+
+  /** Creates the report of a host that does not state its data centre. */
+  public HostReport(
+      ImmutableMap<String, ImmutableMap<Integer, Integer>> keyLoads,
+      ImmutableMap<String, TargetSample> targets,
+      long storeRevision,
+      ImmutableSet<String> approvals,
+      ImmutableSet<TargetIncarnation> leaving,
+      long sentAt) {
+    this(keyLoads, targets, storeRevision, approvals, leaving, sentAt, "");
+  }
 
   /**
    * The measurements of one target by one host.
@@ -28,11 +41,18 @@
    * @param inFlight requests in progress now
    * @param responses responses received since the last report
    * @param serviceNanos total service time of those responses, in nanoseconds
+   * @param failures requests that failed since the last report
    */
-  public record TargetSample(int inFlight, int responses, long serviceNanos) {}
+  public record TargetSample(int inFlight, int responses, long serviceNanos, int failures) {
+    /** Creates the measurements of a target of which no request failed. */
+    public TargetSample(int inFlight, int responses, long serviceNanos) {
+      this(inFlight, responses, serviceNanos, 0);
+    }
+  }
 
   /** Returns this report with other leaving targets. */
   public HostReport withLeaving(ImmutableSet<TargetIncarnation> newLeaving) {
-    return new HostReport(keyLoads, targets, storeRevision, approvals, newLeaving, sentAt);
+    return new HostReport(
+        keyLoads, targets, storeRevision, approvals, newLeaving, sentAt, dataCentre);
   }
 }
--- a/core/src/test/java/org/cowslipmoor/core/balance/TargetHealthTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/balance/TargetHealthTest.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 final class TargetHealthTest {
@@ -94,6 +95,35 @@
     assertThat(pair.usable(List.of("a", "b"), id -> id, 2 * NANOS_PER_SECOND), contains("a"));
   }
 
+  /** Guards against a host that has to fail three requests of its own first. */
+  @Test
+  void publishedTargetIsEjectedUntilItIsNoLongerPublished() {
+    health.onPublished(Map.of("a", false), 0);
+    assertThat(health.isEjected("a", NANOS_PER_SECOND), is(true));
+    assertThat(usable(NANOS_PER_SECOND), hasSize(TARGETS.size() - 1));
+    health.onPublished(Map.of(), NANOS_PER_SECOND);
+    assertThat(health.isEjected("a", NANOS_PER_SECOND), is(false));
+  }
+
+  /** Guards against a coordinator that is gone and keeps targets out for ever. */
+  @Test
+  void publicationIsIgnoredOnceItIsOld() {
+    health.onPublished(Map.of("a", false), 0);
+    assertThat(health.isEjected("a", NANOS_PER_SECOND * 3 / 2 - 1), is(true));
+    assertThat(health.isEjected("a", NANOS_PER_SECOND * 3 / 2), is(false));
+  }
+
+  @Test
+  void hostThatMayTryPublishedTargetSendsOneRequestAtOnce() {
+    fail("a", 3, 0);
+    health.onPublished(Map.of("a", true), 1);
+    assertThat(health.isEjected("a", 1), is(false));
+    health.onSend("a", 1);
+    assertThat(health.isEjected("a", 2), is(true));
+    health.onResponse("a");
+    assertThat(health.isEjected("a", 3), is(false));
+  }
+
   @Test
   void ejectedShareMustBeBelowOne() {
     assertThrows(IllegalArgumentException.class, () -> TargetHealth.create(1));
--- a/daemon/src/main/java/org/cowslipmoor/daemon/codec/FleetCodec.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/codec/FleetCodec.java
@@ -11,6 +11,7 @@
 import org.cowslipmoor.core.fleet.FleetState;
 import org.cowslipmoor.core.fleet.HostReport;
 import org.cowslipmoor.core.range.KeyRange;
+import org.cowslipmoor.schema.fleet.FailingTarget;
 import org.cowslipmoor.schema.fleet.KeyLoad;
 import org.cowslipmoor.schema.fleet.LeavingTarget;
 import org.cowslipmoor.schema.fleet.MovingRange;
@@ -27,7 +28,8 @@
         org.cowslipmoor.schema.fleet.HostReport.newBuilder()
             .setStoreRevision(report.storeRevision())
             .addAllApprovals(report.approvals())
-            .setSentAt(report.sentAt());
+            .setSentAt(report.sentAt())
+            .setDataCentre(report.dataCentre());
     report
         .keyLoads()
         .forEach(
@@ -45,7 +47,8 @@
                         .setTarget(target)
                         .setInFlight(s.inFlight())
                         .setAnswers(s.responses())
-                        .setServiceMicros(TimeUnit.NANOSECONDS.toMicros(s.serviceNanos()))));
+                        .setServiceMicros(TimeUnit.NANOSECONDS.toMicros(s.serviceNanos()))
+                        .setFailures(s.failures())));
     report.leaving().forEach(target -> message.addLeaving(encodeLeaving(target)));
     return message.build();
   }
@@ -67,7 +70,8 @@
           new HostReport.TargetSample(
               s.getInFlight(),
               s.getAnswers(),
-              TimeUnit.MICROSECONDS.toNanos(s.getServiceMicros())));
+              TimeUnit.MICROSECONDS.toNanos(s.getServiceMicros()),
+              s.getFailures()));
     }
     return new HostReport(
         loads.buildOrThrow(),
@@ -75,7 +79,8 @@
         message.getStoreRevision(),
         ImmutableSet.copyOf(message.getApprovalsList()),
         decodeLeaving(message.getLeavingList()),
-        message.getSentAt());
+        message.getSentAt(),
+        message.getDataCentre());
   }
 
   /** Converts the fleet's state to the schema's message. */
@@ -103,6 +108,13 @@
               .setTo(m.range().to()));
     }
     state.leaving().forEach(target -> message.addLeaving(encodeLeaving(target)));
+    for (FleetState.FailingTarget f : state.failing()) {
+      message.addFailing(
+          FailingTarget.newBuilder()
+              .setTarget(f.target())
+              .setDataCentre(f.dataCentre())
+              .setTrialHost(f.trialHost()));
+    }
     return message.build();
   }
 
@@ -123,6 +135,11 @@
     for (MovingRange m : message.getMovingList()) {
       moving.add(new FleetState.MovingRange(m.getService(), new KeyRange(m.getFrom(), m.getTo())));
     }
+    ImmutableList.Builder<FleetState.FailingTarget> failing = ImmutableList.builder();
+    for (FailingTarget f : message.getFailingList()) {
+      checkArgument(!f.getTarget().isEmpty(), "a failing target has no id");
+      failing.add(new FleetState.FailingTarget(f.getTarget(), f.getDataCentre(), f.getTrialHost()));
+    }
     return new FleetState(
         message.getHosts(),
         targets.buildOrThrow(),
@@ -130,7 +147,8 @@
         moving.build(),
         ImmutableSet.copyOf(message.getCandidatesList()),
         message.getRelaysStore(),
-        decodeLeaving(message.getLeavingList()));
+        decodeLeaving(message.getLeavingList()),
+        failing.build());
   }
 
   private static LeavingTarget encodeLeaving(TargetIncarnation target) {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -104,7 +104,7 @@
     this.loop = loop;
     this.store = store;
     HttpConnections connections = new HttpConnections(loop, CONNECT_TIMEOUT, TARGET_IDLE_TIMEOUT);
-    loadBalancer = TargetLoadBalancer.create(settings.dataCentre(), random);
+    loadBalancer = TargetLoadBalancer.create(settings.dataCentre(), settings.host(), random);
     keyCounts = new KeyCounts();
     gateway =
         new Gateway(
@@ -302,7 +302,8 @@
         store.revision(),
         gateway.candidates(),
         gateway.leavingTargets(),
-        System.nanoTime());
+        System.nanoTime(),
+        settings.dataCentre());
   }
 
   private ServiceLoad serviceLoad(String service) {
--- a/daemon/src/test/java/org/cowslipmoor/daemon/codec/FleetCodecTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/codec/FleetCodecTest.java
@@ -24,11 +24,12 @@
     HostReport report =
         new HostReport(
             ImmutableMap.of("stock", ImmutableMap.of(3, 7)),
-            ImmutableMap.of("t", new HostReport.TargetSample(2, 5, 4_000_000)),
+            ImmutableMap.of("t", new HostReport.TargetSample(2, 5, 4_000_000, 3)),
             17,
             ImmutableSet.of("new"),
             ImmutableSet.of(new TargetIncarnation("t", 1_796_000_000_000L)),
-            -5);
+            -5,
+            "cairo");
     assertThat(FleetCodec.decodeReport(FleetCodec.encodeReport(report)), is(report));
   }
 
@@ -42,7 +43,10 @@
             ImmutableList.of(new FleetState.MovingRange("stock", new KeyRange(1, 2))),
             ImmutableSet.of("new"),
             true,
-            ImmutableSet.of(new TargetIncarnation("t", -3)));
+            ImmutableSet.of(new TargetIncarnation("t", -3)),
+            ImmutableList.of(
+                new FleetState.FailingTarget("t", "", ""),
+                new FleetState.FailingTarget("u", "cairo", "host-1")));
     assertThat(FleetCodec.decodeState(FleetCodec.encodeState(state)), is(state));
   }
 
--- a/testing/src/main/java/org/cowslipmoor/testing/placement/PlacementScenario.java
+++ b/testing/src/main/java/org/cowslipmoor/testing/placement/PlacementScenario.java
@@ -16,6 +16,7 @@
  * @param linkBytesPerSecond capacity of the coordinator's network link
  * @param utilization offered load as a fraction of the capacity of all targets
  * @param rushUtilization offered load in every other second
+ * @param failingTargets number of targets that fail all requests at once, for ever
  */
 public record PlacementScenario(
     int hosts,
@@ -27,7 +28,8 @@
     long objectiveNanos,
     double linkBytesPerSecond,
     double utilization,
-    double rushUtilization) {
+    double rushUtilization,
+    int failingTargets) {
 
   /** Checks the numbers of hosts and targets. */
   public PlacementScenario {
@@ -53,6 +55,23 @@
         2_500_000_000L,
         25_000_000,
         utilization,
-        rushUtilization);
+        rushUtilization,
+        0);
+  }
+
+  /** Returns this scenario with targets that fail all requests at once. */
+  public PlacementScenario withFailingTargets(int count) {
+    return new PlacementScenario(
+        hosts,
+        targets,
+        otherTargets,
+        slots,
+        queueLength,
+        serviceNanos,
+        objectiveNanos,
+        linkBytesPerSecond,
+        utilization,
+        rushUtilization,
+        count);
   }
 }
--- a/testing/src/main/java/org/cowslipmoor/testing/placement/PlacementSimulation.java
+++ b/testing/src/main/java/org/cowslipmoor/testing/placement/PlacementSimulation.java
@@ -61,6 +61,7 @@
   private long rejected;
   private long unplaced;
   private long late;
+  private long failed;
 
   /**
    * Measurements of a run, as shares of the requests unless stated otherwise.
@@ -70,6 +71,7 @@
    * @param lost requests that a full target reset, which callers can't retry safely
    * @param rejected requests that a host rejected as not run
    * @param late requests with a response after their objective
+   * @param failed requests that a failing target failed
    * @param p50Millis median response time in milliseconds
    * @param p99Millis 99th percentile of the response time in milliseconds
    */
@@ -79,6 +81,7 @@
       double lost,
       double rejected,
       double late,
+      double failed,
       double p50Millis,
       double p99Millis) {}
 
@@ -102,6 +105,7 @@
       targets.add(new SimulatedTarget(SPEEDS[t % SPEEDS.length]));
     }
     directory = all.build();
+    aggregator.onTargets(directory);
     for (int h = 0; h < scenario.hosts(); h++) {
       hosts.add(new SimulatedHost(h));
     }
@@ -121,6 +125,7 @@
         lost / total,
         rejected / total,
         late / total,
+        failed / total,
         responseMicros.getValueAtPercentile(50) / 1e3,
         responseMicros.getValueAtPercentile(99) / 1e3);
   }
@@ -221,14 +226,14 @@
   private final class SimulatedHost {
     private final String id;
     private final double weight = MIN_HOST_WEIGHT + random.nextDouble() * (1 - MIN_HOST_WEIGHT);
-    private final TargetLoadBalancer balancer =
-        TargetLoadBalancer.create(DATA_CENTRE, random.split());
+    private final TargetLoadBalancer balancer;
     private final int[] own = new int[scenario.targets()];
     private final int[] ownWhenReported = new int[scenario.targets()];
     private final int[] others = new int[scenario.targets()];
 
     SimulatedHost(int number) {
       this.id = "h" + number;
+      this.balancer = TargetLoadBalancer.create(DATA_CENTRE, id, random.split());
     }
 
     void receive() {
@@ -255,7 +260,8 @@
               0,
               ImmutableSet.of(),
               ImmutableSet.of(),
-              events.now());
+              events.now(),
+              DATA_CENTRE);
       events.after(ONE_WAY_DELAY_NANOS, () -> aggregator.onReport(id, report, events.now()));
       if (events.now() < endNanos) {
         events.after(REPORT_INTERVAL_NANOS, this::report);
@@ -279,6 +285,12 @@
 
     private void deliver(int t, long startedAt) {
       SimulatedTarget target = targets.get(t);
+      // Failures begin with the measurement, when no host knows of them.
+      if (t < scenario.failingTargets() && events.now() >= WARM_UP_NANOS) {
+        failed += isMeasured(startedAt) ? 1 : 0;
+        fail(t);
+        return;
+      }
       if (target.accept(() -> respond(t, startedAt))) {
         return;
       }
@@ -286,6 +298,10 @@
         lost++;
         countUnplaced();
       }
+      fail(t);
+    }
+
+    private void fail(int t) {
       events.after(
           ONE_WAY_DELAY_NANOS,
           () -> {
