--- a/core/src/main/java/org/cowslipmoor/core/admission/TargetLoadBalancer.java
+++ b/core/src/main/java/org/cowslipmoor/core/admission/TargetLoadBalancer.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.Maps;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -88,6 +89,9 @@
   /** Maximum number of requests in progress of one host at one target. */
   private static final int MAX_IN_FLIGHT_PER_TARGET = 8;
 
+  /** Bound on the memory for failures of a target; more than any target has room for. */
+  private static final int MAX_COUNTED_FAILURES = 1_000;
+
   private static final long MIN_RETRY_AFTER_NANOS = 100 * NANOS_PER_MILLI;
   private static final double MAX_EJECTED_SHARE = 1.0 / 3;
 
@@ -99,6 +103,7 @@
   }
 
   private final String dataCentre;
+  private final String host;
   private final RandomGenerator random;
   private final boolean staysHome;
   private final TargetHealth health = TargetHealth.create(MAX_EJECTED_SHARE);
@@ -109,8 +114,10 @@
   /** Time of the last state that told the loads of targets, if there was one. */
   private OptionalLong loadsReceivedAt = OptionalLong.empty();
 
-  private TargetLoadBalancer(String dataCentre, RandomGenerator random, boolean staysHome) {
+  private TargetLoadBalancer(
+      String dataCentre, String host, RandomGenerator random, boolean staysHome) {
     this.dataCentre = dataCentre;
+    this.host = host;
     this.random = random;
     this.staysHome = staysHome;
   }
@@ -122,7 +129,16 @@
    * @param random draws the targets of requests
    */
   public static TargetLoadBalancer create(String dataCentre, RandomGenerator random) {
-    return new TargetLoadBalancer(dataCentre, random, true);
+    return create(dataCentre, "", random);
+  }
+
+  /**
+   * Creates the load balancer of a host that may be named to try failing targets.
+   *
+   * @param host the host's id
+   */
+  public static TargetLoadBalancer create(String dataCentre, String host, RandomGenerator random) {
+    return new TargetLoadBalancer(dataCentre, host, random, true);
   }
 
   /**
@@ -131,7 +147,7 @@
    */
   public static TargetLoadBalancer createWithFixedPathCost(
       String dataCentre, RandomGenerator random) {
-    return new TargetLoadBalancer(dataCentre, random, false);
+    return new TargetLoadBalancer(dataCentre, "", random, false);
   }
 
   /**
@@ -226,6 +242,7 @@
     for (DiscoveredTarget t : targets) {
       double remaining = remainingLoad(t, now);
       requests += reportedLoad(t) - remaining;
+      remaining += stats(t).failuresInProgress(now);
       double room = hasConnection(t) ? Math.max(0, maxLoad(t) - remaining) : 0;
       double extraNanos =
           staysHome || t.dataCentre().equals(dataCentre)
@@ -291,6 +308,7 @@
       double remaining = remainingLoad(t, now);
       double limit = acceptedLoad(t, objectiveNanos);
       requests += reportedLoad(t) - remaining;
+      remaining += stats(t).failuresInProgress(now);
       reported += reportedLoad(t);
       accepted += limit;
       double room = hasConnection(t) ? Math.max(0, limit - remaining) : 0;
@@ -416,7 +434,10 @@
   /** Records a failure: target unreachable, connection lost, timeout, or an error response. */
   public void onFailure(DiscoveredTarget target, long now) {
     health.onFailure(target.id(), now);
-    stats(target).inFlight--;
+    TargetStats s = stats(target);
+    s.inFlight--;
+    s.newFailures++;
+    s.recordFailure(now + (long) serviceNanos(target));
   }
 
   /** Records that a request ended without information about the target. */
@@ -443,11 +464,14 @@
     statsByTarget.forEach(
         (id, s) -> {
           s.reportedInFlight = s.inFlight;
-          if (s.inFlight > 0 || s.newResponses > 0) {
+          if (s.inFlight > 0 || s.newResponses > 0 || s.newFailures > 0) {
             samples.put(
-                id, new HostReport.TargetSample(s.inFlight, s.newResponses, s.newServiceNanos));
+                id,
+                new HostReport.TargetSample(
+                    s.inFlight, s.newResponses, s.newServiceNanos, s.newFailures));
           }
           s.newResponses = 0;
+          s.newFailures = 0;
           s.newServiceNanos = 0;
         });
     return samples.buildOrThrow();
@@ -470,6 +494,14 @@
     if (!fleet.targets().isEmpty()) {
       loadsReceivedAt = OptionalLong.of(now);
     }
+    Map<String, Boolean> failing = new HashMap<>();
+    for (FleetState.FailingTarget f : fleet.failing()) {
+      if (f.dataCentre().isEmpty() || f.dataCentre().equals(dataCentre)) {
+        boolean mayTry = !host.isEmpty() && f.trialHost().equals(host);
+        failing.merge(f.target(), mayTry, Boolean::logicalAnd);
+      }
+    }
+    health.onPublished(failing, now);
     fleet
         .targets()
         .forEach(
@@ -581,9 +613,32 @@
     double queueNanosAtSend;
     int reportedInFlight;
     int newResponses;
+    int newFailures;
+
+    /** Times at which responses would have come in place of failures, in order. */
+    private final ArrayDeque<Long> failuresUntil = new ArrayDeque<>();
+
     long newServiceNanos;
     long fleetServiceNanos;
 
+    void recordFailure(long until) {
+      if (failuresUntil.size() == MAX_COUNTED_FAILURES) {
+        failuresUntil.removeFirst();
+      }
+      failuresUntil.add(until);
+    }
+
+    /**
+     * Returns the failed requests that would still be in progress if they had been answered, so
+     * that a target that fails fast does not look idle.
+     */
+    int failuresInProgress(long now) {
+      while (!failuresUntil.isEmpty() && now - failuresUntil.getFirst() >= 0) {
+        failuresUntil.removeFirst();
+      }
+      return failuresUntil.size();
+    }
+
     void recordOthers(int requests, long ageNanos, long now) {
       othersInFlight = Math.max(0, requests);
       othersAgeNanos = ageNanos;
--- a/daemon/src/main/java/org/cowslipmoor/daemon/codec/FleetCodec.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/codec/FleetCodec.java
@@ -16,6 +16,7 @@
 import org.cowslipmoor.schema.fleet.ColdAllowance;
 import org.cowslipmoor.schema.fleet.ColdAllowanceRequest;
 import org.cowslipmoor.schema.fleet.ColdTargetRequests;
+import org.cowslipmoor.schema.fleet.FailingTarget;
 import org.cowslipmoor.schema.fleet.KeyLoad;
 import org.cowslipmoor.schema.fleet.LeavingTarget;
 import org.cowslipmoor.schema.fleet.MovingRange;
@@ -32,7 +33,8 @@
         org.cowslipmoor.schema.fleet.HostReport.newBuilder()
             .setStoreRevision(report.storeRevision())
             .addAllApprovals(report.approvals())
-            .setSentAt(report.sentAt());
+            .setSentAt(report.sentAt())
+            .setDataCentre(report.dataCentre());
     report
         .keyLoads()
         .forEach(
@@ -50,7 +52,8 @@
                         .setTarget(target)
                         .setInFlight(s.inFlight())
                         .setAnswers(s.responses())
-                        .setServiceMicros(TimeUnit.NANOSECONDS.toMicros(s.serviceNanos()))));
+                        .setServiceMicros(TimeUnit.NANOSECONDS.toMicros(s.serviceNanos()))
+                        .setFailures(s.failures())));
     report.leaving().forEach(target -> message.addLeaving(encodeLeaving(target)));
     return message.build();
   }
@@ -72,7 +75,8 @@
           new HostReport.TargetSample(
               s.getInFlight(),
               s.getAnswers(),
-              TimeUnit.MICROSECONDS.toNanos(s.getServiceMicros())));
+              TimeUnit.MICROSECONDS.toNanos(s.getServiceMicros()),
+              s.getFailures()));
     }
     return new HostReport(
         loads.buildOrThrow(),
@@ -80,7 +84,8 @@
         message.getStoreRevision(),
         ImmutableSet.copyOf(message.getApprovalsList()),
         decodeLeaving(message.getLeavingList()),
-        message.getSentAt());
+        message.getSentAt(),
+        message.getDataCentre());
   }
 
   /** Converts the fleet's state to the schema's message. */
@@ -108,6 +113,13 @@
               .setTo(m.range().to()));
     }
     state.leaving().forEach(target -> message.addLeaving(encodeLeaving(target)));
+    for (FleetState.FailingTarget f : state.failing()) {
+      message.addFailing(
+          FailingTarget.newBuilder()
+              .setTarget(f.target())
+              .setDataCentre(f.dataCentre())
+              .setTrialHost(f.trialHost()));
+    }
     return message.build();
   }
 
@@ -128,6 +140,11 @@
     for (MovingRange m : message.getMovingList()) {
       moving.add(new FleetState.MovingRange(m.getService(), new KeyRange(m.getFrom(), m.getTo())));
     }
+    ImmutableList.Builder<FleetState.FailingTarget> failing = ImmutableList.builder();
+    for (FailingTarget f : message.getFailingList()) {
+      checkArgument(!f.getTarget().isEmpty(), "a failing target has no id");
+      failing.add(new FleetState.FailingTarget(f.getTarget(), f.getDataCentre(), f.getTrialHost()));
+    }
     return new FleetState(
         message.getHosts(),
         targets.buildOrThrow(),
@@ -135,7 +152,8 @@
         moving.build(),
         ImmutableSet.copyOf(message.getCandidatesList()),
         message.getRelaysStore(),
-        decodeLeaving(message.getLeavingList()));
+        decodeLeaving(message.getLeavingList()),
+        failing.build());
   }
 
   /** Converts a request for allowances to the schema's message. */
