Bound what callers send ahead, and what they leave unread

Cause: a caller could have any number of requests in progress on a connection, and the responses that waited for their turn were not counted against the memory. Requests behind a response that was cut off ran on, and a stopping host passed on requests behind a response that closes the connection, although callers send these again whatever their kind. A caller that doesn't read kept a target busy until the deadline.

Requests behind a response that closes the connection are cancelled or ignored. A connection on which nothing can be sent for 3 s is closed; its send buffer is 256 KB, so that slow callers show progress.

--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Attempt.java
@@ -223,7 +223,7 @@
       startDiscarding();
       return true;
     }
-    ResponseRelay r = new ResponseRelay(callerExchange.writer(), targetExchange());
+    ResponseRelay r = new ResponseRelay(callerExchange, targetExchange());
     r.writeHead(head);
     // Set only now: a head that can't be written fails the attempt, which may be retried.
     relay = r;
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayExchange.java
@@ -90,6 +90,9 @@
   private boolean retryReserved;
   private boolean ended;
 
+  /** Bytes of the response that are kept until the earlier responses are complete. */
+  private long waitingBytes;
+
   GatewayExchange(
       Gateway gateway, ServiceRequestContext ctx, HttpRequest request, HttpResponseWriter writer) {
     this.gateway = gateway;
@@ -102,11 +105,10 @@
   void start() {
     gateway.onRequestStart();
     Channel channel = callerChannel;
-    if (channel != null) {
-      gateway.callers().onRequestStart(channel, this);
-    }
-    if (gateway.isStopping()) {
-      ctx.initiateConnectionShutdown();
+    if (channel != null
+        && !gateway.callers().onRequestStart(channel, this, ctx.sessionProtocol().isMultiplex())) {
+      finish();
+      return;
     }
     writer
         .whenComplete()
@@ -115,9 +117,13 @@
               if (channel != null) {
                 gateway.callers().onRequestEnd(channel, this);
               }
+              releaseWaitingBytes();
               onWriterDone(error);
               return null;
             });
+    if (gateway.isStopping() && !closeConnection()) {
+      return;
+    }
     RoutingConfiguration configuration = gateway.view().configuration();
     if (configuration == null) {
       reject(ResultCode.NO_CONFIGURATION, "no configuration is known yet", START_RETRY_AFTER_NANOS);
@@ -152,6 +158,27 @@
     }
   }
 
+  /**
+   * Closes the caller's connection after this request, because the host is stopping. Behind other
+   * requests, this one is not processed, and the connection is closed after them: a response that
+   * announces the end of the connection would be the next one, with the rest in progress behind it.
+   * Returns whether to process the request.
+   */
+  private boolean closeConnection() {
+    Channel channel = callerChannel;
+    if (channel == null || !isWaiting()) {
+      ctx.initiateConnectionShutdown();
+      if (channel != null) {
+        gateway.callers().onClosingResponse(channel, this);
+      }
+      return true;
+    }
+    gateway.callers().closeAfterRequests(channel);
+    gateway.callers().onRequestEnd(channel, this);
+    finish();
+    return false;
+  }
+
   private void startRouted(
       RoutingConfiguration configuration, RouteRule rule, RequestHead callerHead) {
     route = rule;
@@ -424,6 +451,9 @@
 
   /** Ends the response to the caller so that it can't be mistaken for a complete one. */
   private void closeIncomplete(String reason) {
+    if (callerChannel != null) {
+      gateway.callers().onClosingResponse(callerChannel, this);
+    }
     gateway.count(GatewayMetric.ANSWERS_ABORTED);
     gateway.log().onAbortedResponse(requestId, service, reason, System.nanoTime());
     writer.close(new IllegalStateException(reason));
@@ -474,6 +504,51 @@
     closeIncomplete("the caller aborted its request");
   }
 
+  /** Ends the request because an earlier response closes the caller's connection. */
+  void cancelBehindClose() {
+    releaseWaitingBytes();
+    if (ended) {
+      return;
+    }
+    gateway.count(GatewayMetric.CANCELLED_BEHIND_CLOSE);
+    if (attempt != null) {
+      attempt.cancel();
+    }
+    finish();
+  }
+
+  /** Returns whether earlier responses on the caller's connection have to be completed first. */
+  boolean isWaiting() {
+    return callerChannel != null && gateway.callers().isWaiting(callerChannel, this);
+  }
+
+  /**
+   * Accounts for bytes of the response that are about to be written; returns whether more may be
+   * read from the target. While earlier responses on the caller's connection are not complete, the
+   * bytes stay in memory.
+   */
+  boolean onResponseBytes(int bytes) {
+    Channel channel = callerChannel;
+    if (channel == null || !isWaiting()) {
+      return true;
+    }
+    if (!gateway.bodyMemory().tryReserve(bytes)) {
+      return false;
+    }
+    waitingBytes += bytes;
+    return gateway.callers().addWaitingBytes(channel, bytes);
+  }
+
+  /** Returns the memory of a response that no longer waits for earlier ones. */
+  void releaseWaitingBytes() {
+    if (waitingBytes > 0 && callerChannel != null) {
+      long bytes = waitingBytes;
+      waitingBytes = 0;
+      gateway.bodyMemory().release(bytes);
+      gateway.callers().addWaitingBytes(callerChannel, -bytes);
+    }
+  }
+
   private void reject(ResultCode code, String reason, long retryAfterNanos) {
     if (ended) {
       return;
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -7,6 +7,7 @@
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.server.Server;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -52,6 +53,12 @@
   /** Longest head of a request that is read; the configuration's limit is checked afterwards. */
   private static final int MAX_HEAD_BYTES = 65_536;
 
+  /**
+   * Size of the buffer of a caller's connection. By default it grows to 4 MB, so that a caller that
+   * reads 400 KB/s would show no progress for 3 s, as one that doesn't read.
+   */
+  private static final int CALLER_SEND_BUFFER_BYTES = 262_144;
+
   private static final long TICK_INTERVAL_MILLIS = 50;
 
   /** Interval between reports to the coordinator. */
@@ -325,6 +332,7 @@
         .http(readyAddress)
         .http(parseAddress(settings.metricsAddress()))
         .workerGroup(group, false)
+        .childChannelOption(ChannelOption.SO_SNDBUF, CALLER_SEND_BUFFER_BYTES)
         .childChannelPipelineCustomizer(this::onAccepted)
         .serviceUnder(
             "/",
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayMetric.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayMetric.java
@@ -15,6 +15,9 @@
   RETRIES("cowslipmoor_retries_total", "Requests sent once more."),
   REFUSALS("cowslipmoor_refusals_total", "Requests refused, by result code."),
   CALLERS_GONE("cowslipmoor_callers_gone_total", "Callers that left before their answer."),
+  CANCELLED_BEHIND_CLOSE(
+      "cowslipmoor_cancelled_behind_close_total",
+      "Requests cancelled behind an answer that closes the connection."),
   LEAVING("cowslipmoor_leaving_total", "Targets that stated that they are leaving."),
   SENT_TO_LEAVING(
       "cowslipmoor_sent_to_leaving_total", "Requests sent to targets after that statement."),
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/ResponseRelay.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/ResponseRelay.java
@@ -34,14 +34,16 @@
   /** Number of bytes not yet consumed by the caller above which reading from the target pauses. */
   private static final int MAX_BACKLOG_BYTES = 131_072;
 
+  private final GatewayExchange callerExchange;
   private final HttpResponseWriter writer;
   private final Exchange exchange;
   private int backlogBytes;
   private boolean paused;
   private long bodyBytes;
 
-  ResponseRelay(HttpResponseWriter writer, Exchange exchange) {
-    this.writer = writer;
+  ResponseRelay(GatewayExchange callerExchange, Exchange exchange) {
+    this.callerExchange = callerExchange;
+    this.writer = callerExchange.writer();
     this.exchange = exchange;
   }
 
@@ -60,8 +62,13 @@
   void writeData(ByteBuf data) {
     bodyBytes += data.readableBytes();
     backlogBytes += data.readableBytes();
+    boolean isWaiting = callerExchange.isWaiting();
+    boolean mayContinue = callerExchange.onResponseBytes(data.readableBytes());
     writer.write(HttpData.wrap(ByteBufUtil.getBytes(data)));
-    if (backlogBytes > MAX_BACKLOG_BYTES && !paused) {
+    // A waiting response is read as long as there is memory for it, since its target is busy or
+    // even gives up while it is not read.
+    boolean mustPause = isWaiting ? !mayContinue : backlogBytes > MAX_BACKLOG_BYTES;
+    if (mustPause && !paused) {
       paused = true;
       exchange.setReading(false);
       writer.whenConsumed().thenRun(this::resume);
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/UnusableResponseTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/UnusableResponseTest.java
@@ -51,7 +51,7 @@
         HEADERS + "x: a\u007fb\r\n\r\nok",
         HEADERS + "x: a\rb\r\n\r\nok",
         HEADERS + "x\u0001y: a\r\n\r\nok",
-        HEADERS + "x\u00e9: a\r\n\r\nok",
+        HEADERS + "x\351: a\r\n\r\nok",
         HEADERS + "x,y: a\r\n\r\nok",
         HEADERS + "x=y: a\r\n\r\nok",
         HEADERS + ":status: 500\r\n\r\nok",
@@ -95,13 +95,13 @@
         "HTTP/1.1 200 " + REST,
         "HTTP/1.0 200 OK" + REST,
         "HTTP/1.2 200 OK" + REST,
-        "HTTP/1.1 200 \u00e9t\u00e9" + REST,
+        "HTTP/1.1 200 \351t\351" + REST,
         "HTTP/1.1 200 a\u0001b" + REST,
         "HTTP/1.1 299 Odd" + REST,
         "HTTP/1.1 499 Odd" + REST,
         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK" + REST,
         "HTTP/1.1 199 Odd\r\n\r\nHTTP/1.1 200 OK" + REST,
-        HEADERS + "x: a\u00e9\tb\r\n\r\nok"
+        HEADERS + "x: a\351\tb\r\n\r\nok"
       })
   void usableResponseIsPassedOn(String response) throws Exception {
     target("t", id -> response);
