Compare places in the store by era and revision

Cause: a store that comes back from an older copy gives out its revisions again.

Change: StorePlace orders changes by era first. Relayed updates, reports, terms and conditional writes carry the era.

--- a/core/src/main/java/org/cowslipmoor/core/fleet/FleetAggregator.java
+++ b/core/src/main/java/org/cowslipmoor/core/fleet/FleetAggregator.java
@@ -114,11 +114,11 @@
         .retainAll(targets.stream().map(DiscoveredTarget::id).collect(Collectors.toSet()));
   }
 
-  /** Returns the hosts whose reports have not expired, with the store revision of each. */
-  public ImmutableMap<String, Long> hosts(long now) {
+  /** Returns the hosts whose reports have not expired, with the place in the store of each. */
+  public ImmutableMap<String, StorePlace> hosts(long now) {
     expire(now);
-    ImmutableMap.Builder<String, Long> hosts = ImmutableMap.builder();
-    reports.forEach((host, r) -> hosts.put(host, r.report().storeRevision()));
+    ImmutableMap.Builder<String, StorePlace> hosts = ImmutableMap.builder();
+    reports.forEach((host, r) -> hosts.put(host, r.report().store().place()));
     return hosts.buildOrThrow();
   }
 
--- a/core/src/main/java/org/cowslipmoor/core/fleet/HostReport.java
+++ b/core/src/main/java/org/cowslipmoor/core/fleet/HostReport.java
@@ -9,7 +9,7 @@
  *
  * @param keyLoads requests by service and key
  * @param targets measurements of each target, by id
- * @param storeRevision the newest store revision that the host has
+ * @param store what the host has of the store
  * @param approvals joining hosts that the host approves
  * @param leaving targets that the host knows to be leaving; says nothing about other targets
  * @param sentAt the host's steady clock when it sent the report, in nanoseconds
@@ -17,7 +17,7 @@
 public record HostReport(
     ImmutableMap<String, ImmutableMap<Integer, Integer>> keyLoads,
     ImmutableMap<String, TargetSample> targets,
-    long storeRevision,
+    StoreKnowledge store,
     ImmutableSet<String> approvals,
     ImmutableSet<TargetIncarnation> leaving,
     long sentAt) {
@@ -31,8 +31,20 @@
    */
   public record TargetSample(int inFlight, int responses, long serviceNanos) {}
 
+  /**
+   * What a host has of the store.
+   *
+   * @param place the newest place in the store that the host has
+   * @param tableVersion version of the range table that it knows
+   * @param lastFence the largest fence of that table
+   */
+  public record StoreKnowledge(StorePlace place, long tableVersion, long lastFence) {
+    /** What a host has that has not read the store. */
+    public static final StoreKnowledge NONE = new StoreKnowledge(StorePlace.START, 0, 0);
+  }
+
   /** Returns this report with other leaving targets. */
   public HostReport withLeaving(ImmutableSet<TargetIncarnation> newLeaving) {
-    return new HostReport(keyLoads, targets, storeRevision, approvals, newLeaving, sentAt);
+    return new HostReport(keyLoads, targets, store, approvals, newLeaving, sentAt);
   }
 }
--- a/core/src/main/java/org/cowslipmoor/core/fleet/LeavingReports.java
+++ b/core/src/main/java/org/cowslipmoor/core/fleet/LeavingReports.java
@@ -12,7 +12,7 @@
  */
 public final class LeavingReports {
   private final Set<TargetIncarnation> confirmed = new HashSet<>();
-  private long term;
+  private StorePlace term = StorePlace.START;
 
   private LeavingReports() {}
 
@@ -25,8 +25,8 @@
    * Records the coordinator's term. The coordinator of another term may not have received what its
    * predecessor has listed.
    */
-  public void onTerm(long newTerm) {
-    if (newTerm != term) {
+  public void onTerm(StorePlace newTerm) {
+    if (!newTerm.equals(term)) {
       term = newTerm;
       confirmed.clear();
     }
--- a/core/src/main/java/org/cowslipmoor/core/fleet/StoreUpdateRelay.java
+++ b/core/src/main/java/org/cowslipmoor/core/fleet/StoreUpdateRelay.java
@@ -9,7 +9,7 @@
  * Decides which store updates the coordinator relays to which host. Does no I/O; times are
  * nanoseconds. Not thread-safe.
  *
- * <p>Each frame holds the changes since a revision that the receiver has or is about to receive, so
+ * <p>Each frame holds the changes since a place that the receiver has or is about to receive, so
  * that a lost frame shows as a gap. The frame echoes the receiver's clock from its last report,
  * from which the receiver derives an upper bound of the frame's age. A frame without changes serves
  * that purpose alone.
@@ -29,9 +29,9 @@
   private final Map<String, Receiver> receivers = new HashMap<>();
 
   private static final class Receiver {
-    long reportedRevision;
+    StorePlace reported = StorePlace.START;
     long reportedAt;
-    long sentRevision;
+    StorePlace sent = StorePlace.START;
     long sentAt;
     long missingHistorySince = Long.MAX_VALUE;
   }
@@ -40,10 +40,10 @@
    * A frame that is due.
    *
    * @param host id of the receiver
-   * @param since the revision after which changes are sent; 0 for the whole state
+   * @param since the place after which changes are sent; the start for the whole state
    * @param echoedAt the receiver's clock in its last report
    */
-  public record Frame(String host, long since, long echoedAt) {}
+  public record Frame(String host, StorePlace since, long echoedAt) {}
 
   private StoreUpdateRelay() {}
 
@@ -55,16 +55,16 @@
   /**
    * Records a host's report.
    *
-   * @param revision the newest store revision that the host has
+   * @param place the newest place in the store that the host has
    * @param reportedAt the host's clock when it sent the report
    */
-  public void onReport(String host, long revision, long reportedAt) {
+  public void onReport(String host, StorePlace place, long reportedAt) {
     Receiver r = receivers.computeIfAbsent(host, unused -> new Receiver());
-    if (revision < r.reportedRevision) {
+    if (r.reported.isAfter(place)) {
       // The host has restarted.
-      r.sentRevision = 0;
+      r.sent = StorePlace.START;
     }
-    r.reportedRevision = revision;
+    r.reported = place;
     r.reportedAt = reportedAt;
   }
 
@@ -82,35 +82,38 @@
    * Returns the frames that are due after the store's state was confirmed. The caller reports each
    * frame that it sends to {@link #onSent}.
    *
-   * @param revision the confirmed revision
-   * @param trackedSince the revision since which every change is available, deletions included
+   * @param place the confirmed place
+   * @param trackedSince the place since which every change is available, deletions included
    */
-  public ImmutableList<Frame> due(long revision, long trackedSince, long now) {
+  public ImmutableList<Frame> due(StorePlace place, StorePlace trackedSince, long now) {
     ImmutableList.Builder<Frame> frames = ImmutableList.builder();
     receivers.forEach(
         (host, r) -> {
-          boolean isInFlight =
-              r.sentRevision > r.reportedRevision && now - r.sentAt < RESEND_DELAY_NANOS;
-          long since = isInFlight ? r.sentRevision : r.reportedRevision;
-          if (since >= trackedSince) {
+          boolean isInFlight = r.sent.isAfter(r.reported) && now - r.sentAt < RESEND_DELAY_NANOS;
+          StorePlace since = isInFlight ? r.sent : r.reported;
+          if (since.era() > place.era()) {
+            // The host has read the store since it came back older, and this one has not.
+            return;
+          }
+          if (!trackedSince.isAfter(since)) {
             r.missingHistorySince = Long.MAX_VALUE;
           } else {
             r.missingHistorySince = Math.min(r.missingHistorySince, now);
             if (now - r.missingHistorySince < FULL_STATE_DELAY_NANOS) {
               return;
             }
-            since = 0;
+            since = StorePlace.START;
           }
           frames.add(new Frame(host, since, r.reportedAt));
         });
     return frames.build();
   }
 
-  /** Records that a frame was sent that holds all changes up to a revision. */
-  public void onSent(Frame frame, long revision, long now) {
+  /** Records that a frame was sent that holds all changes up to a place. */
+  public void onSent(Frame frame, StorePlace place, long now) {
     Receiver r = receivers.get(frame.host());
-    if (r != null && frame.since() < revision) {
-      r.sentRevision = revision;
+    if (r != null && place.isAfter(frame.since())) {
+      r.sent = place;
       r.sentAt = now;
     }
   }
--- a/core/src/main/java/org/cowslipmoor/core/range/Leadership.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/Leadership.java
@@ -4,6 +4,7 @@
 
 import java.util.Optional;
 import java.util.random.RandomGenerator;
+import org.cowslipmoor.core.fleet.StorePlace;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -62,9 +63,10 @@
    * The store's lease under which this host is coordinator.
    *
    * @param id the store's id of the lease
-   * @param term number of the leadership term; larger than that of every earlier claim
+   * @param term the leadership term: the place of the claim in the store, later than that of every
+   *     earlier claim
    */
-  public record Lease(long id, long term) {}
+  public record Lease(long id, StorePlace term) {}
 
   /** A call to the store that is to be made. */
   public sealed interface Action {
--- a/core/src/test/java/org/cowslipmoor/core/fleet/FleetAggregatorTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/fleet/FleetAggregatorTest.java
@@ -27,7 +27,7 @@
         new HostReport(
             ImmutableMap.of(),
             ImmutableMap.of(),
-            0,
+            HostReport.StoreKnowledge.NONE,
             ImmutableSet.of(),
             ImmutableSet.copyOf(leaving),
             now),
--- a/core/src/test/java/org/cowslipmoor/core/fleet/LeavingReportsTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/fleet/LeavingReportsTest.java
@@ -40,7 +40,7 @@
   /** The link may lose a report. */
   @Test
   void targetIsReportedUntilStateListsIt() {
-    reports.onTerm(1);
+    reports.onTerm(new StorePlace(0, 1));
     assertThat(pending(), is(ImmutableSet.of(TARGET)));
     reports.onState(stateListing(FORMER));
     assertThat(pending(), is(ImmutableSet.of(TARGET)));
@@ -54,13 +54,13 @@
 
   @Test
   void targetIsReportedToTheNextCoordinator() {
-    reports.onTerm(1);
+    reports.onTerm(new StorePlace(0, 1));
     pending();
     reports.onState(stateListing(TARGET));
 
-    reports.onTerm(1);
+    reports.onTerm(new StorePlace(0, 1));
     assertThat(pending(), is(empty()));
-    reports.onTerm(2);
+    reports.onTerm(new StorePlace(0, 2));
 
     assertThat(pending(), is(ImmutableSet.of(TARGET)));
   }
--- a/core/src/test/java/org/cowslipmoor/core/fleet/StoreUpdateSimulation.java
+++ b/core/src/test/java/org/cowslipmoor/core/fleet/StoreUpdateSimulation.java
@@ -153,7 +153,9 @@
         int currentRevision = revision;
         long at = now();
         Host to = hosts.get(coordinator);
-        after(LINK_DELAY_NANOS, () -> to.relay.onReport("" + id, currentRevision, at));
+        after(
+            LINK_DELAY_NANOS,
+            () -> to.relay.onReport("" + id, new StorePlace(0, currentRevision), at));
       } else if (measuresAgeFromArrival || budget.mayBroadcast(unsentBytes(), now())) {
         budget.onBroadcast((long) setup.stateBytes() * (hosts.size() - 1), now());
         hosts.stream().filter(h -> h != this).forEach(h -> send(h, setup.stateBytes(), h::onState));
@@ -215,14 +217,20 @@
       relayedAt = pollScheduler.confirmedAt();
       long ageNanos = pollScheduler.age(now());
       int currentRevision = revision;
-      for (StoreUpdateRelay.Frame f : relay.due(currentRevision, 0, now())) {
+      StorePlace place = new StorePlace(0, currentRevision);
+      for (StoreUpdateRelay.Frame f : relay.due(place, StorePlace.START, now())) {
         if (!measuresAgeFromArrival && !budget.hasCapacity(unsentBytes())) {
           return;
         }
-        relay.onSent(f, currentRevision, now());
+        relay.onSent(f, place, now());
         Host to = hosts.get(Integer.parseInt(f.host()));
-        int bytes = CONFIRMATION_BYTES + (int) (currentRevision - f.since()) * setup.changeBytes();
-        send(to, bytes, () -> to.onUpdates(f.since(), currentRevision, f.echoedAt() - ageNanos));
+        int bytes =
+            CONFIRMATION_BYTES
+                + (int) (currentRevision - f.since().revision()) * setup.changeBytes();
+        send(
+            to,
+            bytes,
+            () -> to.onUpdates(f.since().revision(), currentRevision, f.echoedAt() - ageNanos));
       }
     }
 
--- a/core/src/test/java/org/cowslipmoor/core/range/FakeHost.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/FakeHost.java
@@ -13,6 +13,7 @@
 import org.cowslipmoor.core.fleet.FleetState;
 import org.cowslipmoor.core.fleet.HostReport;
 import org.cowslipmoor.core.fleet.LeavingReports;
+import org.cowslipmoor.core.fleet.StorePlace;
 
 /**
  * A simulated host that acts as coordinator while it holds the store's lease. As in the daemon, its
@@ -103,7 +104,7 @@
   }
 
   /** Returns the term of this host's lease, which it must hold. */
-  long term() {
+  StorePlace term() {
     return leadership.lease().term();
   }
 
@@ -215,7 +216,7 @@
                   new HostReport(
                       ImmutableMap.of(),
                       ImmutableMap.of(),
-                      0,
+                      HostReport.StoreKnowledge.NONE,
                       ImmutableSet.of(),
                       leavingReports.pending(leaving.targets(), directory),
                       now);
@@ -223,7 +224,7 @@
             });
     if (leads()) {
       FleetState state = aggregator.state(now, 0, ImmutableList.of(), ImmutableSet.of(), true);
-      long term = term();
+      StorePlace term = term();
       for (FakeHost to : simulation.runningHosts()) {
         simulation.exchange(to, () -> to.onState(state, term));
       }
@@ -234,8 +235,8 @@
     aggregator.onReport(from.id, report, now()).forEach(this::onLeaving);
   }
 
-  private void onState(FleetState state, long term) {
-    if (simulation.coordinator().filter(c -> c.term() == term).isPresent()) {
+  private void onState(FleetState state, StorePlace term) {
+    if (simulation.coordinator().filter(c -> c.term().equals(term)).isPresent()) {
       leavingReports.onState(state);
     }
     state.leaving().forEach(this::onLeaving);
--- a/core/src/test/java/org/cowslipmoor/core/range/FakeStore.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/FakeStore.java
@@ -5,6 +5,7 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.cowslipmoor.core.fleet.StorePlace;
 
 /**
  * A simulated store with the coordinator's lease and the range table, which is written on condition
@@ -20,6 +21,7 @@
   private final Set<FakeHost> disconnected = new HashSet<>();
   private RangeTable table = RangeTable.empty();
   private long tableRevision;
+  private long era;
   private long revision;
   private Leadership.Lease lease;
   private long leaseUntil;
@@ -94,7 +96,7 @@
       return null;
     }
     revision++;
-    lease = new Leadership.Lease(revision, revision);
+    lease = new Leadership.Lease(revision, new StorePlace(era, revision));
     leaseUntil = time.now() + FakeHost.LEASE_NANOS;
     return lease;
   }
@@ -132,7 +134,7 @@
   }
 
   private Written writeNow(RangeTable newTable, long ifRevision, Leadership.Lease writer) {
-    if (isVacant() || lease.term() != writer.term() || ifRevision != tableRevision) {
+    if (isVacant() || !lease.term().equals(writer.term()) || ifRevision != tableRevision) {
       return new Written(Result.REFUSED, 0);
     }
     revision++;
--- a/core/src/test/java/org/cowslipmoor/core/range/LeadershipTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/LeadershipTest.java
@@ -6,11 +6,12 @@
 
 import java.util.Optional;
 import java.util.SplittableRandom;
+import org.cowslipmoor.core.fleet.StorePlace;
 import org.junit.jupiter.api.Test;
 
 final class LeadershipTest {
   private static final long NANOS_PER_MILLI = 1_000_000L;
-  private static final Leadership.Lease LEASE = new Leadership.Lease(7, 42);
+  private static final Leadership.Lease LEASE = new Leadership.Lease(7, new StorePlace(0, 42));
 
   private final Leadership leadership = Leadership.create(1_500, new SplittableRandom(1));
 
--- a/core/src/test/java/org/cowslipmoor/core/range/RangeSimulation.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/RangeSimulation.java
@@ -109,7 +109,7 @@
   Optional<FakeHost> coordinator() {
     return hosts.stream()
         .filter(h -> h.isRunning() && h.leads())
-        .max(Comparator.comparingLong(FakeHost::term));
+        .max(Comparator.comparing(FakeHost::term));
   }
 
   /** Returns the hosts that have not stopped. */
--- a/daemon/src/main/java/org/cowslipmoor/daemon/codec/FleetCodec.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/codec/FleetCodec.java
@@ -10,6 +10,7 @@
 import org.cowslipmoor.core.discovery.TargetIncarnation;
 import org.cowslipmoor.core.fleet.FleetState;
 import org.cowslipmoor.core.fleet.HostReport;
+import org.cowslipmoor.core.fleet.StorePlace;
 import org.cowslipmoor.core.range.KeyRange;
 import org.cowslipmoor.schema.fleet.KeyLoad;
 import org.cowslipmoor.schema.fleet.LeavingTarget;
@@ -25,7 +26,10 @@
   public static org.cowslipmoor.schema.fleet.HostReport encodeReport(HostReport report) {
     org.cowslipmoor.schema.fleet.HostReport.Builder message =
         org.cowslipmoor.schema.fleet.HostReport.newBuilder()
-            .setStoreRevision(report.storeRevision())
+            .setStoreEra(report.store().place().era())
+            .setStoreRevision(report.store().place().revision())
+            .setTableVersion(report.store().tableVersion())
+            .setLastFence(report.store().lastFence())
             .addAllApprovals(report.approvals())
             .setSentAt(report.sentAt());
     report
@@ -72,7 +76,10 @@
     return new HostReport(
         loads.buildOrThrow(),
         targets.buildOrThrow(),
-        message.getStoreRevision(),
+        new HostReport.StoreKnowledge(
+            new StorePlace(message.getStoreEra(), message.getStoreRevision()),
+            message.getTableVersion(),
+            message.getLastFence()),
         ImmutableSet.copyOf(message.getApprovalsList()),
         decodeLeaving(message.getLeavingList()),
         message.getSentAt());
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/Coordination.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/Coordination.java
@@ -12,6 +12,7 @@
 import java.util.function.Supplier;
 import org.cowslipmoor.core.fleet.CoordinationLoad;
 import org.cowslipmoor.core.fleet.FleetState;
+import org.cowslipmoor.core.fleet.StorePlace;
 import org.cowslipmoor.core.range.Leadership;
 import org.cowslipmoor.core.range.RangeAction;
 import org.cowslipmoor.core.range.RangeCoordinator;
@@ -152,9 +153,9 @@
    * Handles another host's claim: if its term is newer, this host's lease has ended in the store.
    * Returns whether it has.
    */
-  public boolean onOtherCoordinator(long term) {
+  public boolean onOtherCoordinator(StorePlace term) {
     Leadership.Lease held = leadership.lease();
-    if (held == null || term <= held.term()) {
+    if (held == null || !term.isAfter(held.term())) {
       return false;
     }
     log.onTermEnd("another host is the coordinator");
@@ -226,7 +227,11 @@
     }
     Optional<Leadership.Action> end = leadership.onClaimed(sentAt, lease);
     if (end.isEmpty()) {
-      Logger.info("became coordinator, lease {} term {}", lease.id(), lease.term());
+      Logger.info(
+          "became coordinator, lease {} term {} era {}",
+          lease.id(),
+          lease.term().revision(),
+          lease.term().era());
     }
     end.ifPresent(this::call);
   }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
@@ -22,6 +22,7 @@
 import org.cowslipmoor.core.fleet.MemberList;
 import org.cowslipmoor.core.fleet.Membership;
 import org.cowslipmoor.core.fleet.PredecessorNotifier;
+import org.cowslipmoor.core.fleet.StorePlace;
 import org.cowslipmoor.core.fleet.StoreUpdateRelay;
 import org.cowslipmoor.core.range.Leadership;
 import org.cowslipmoor.core.range.ServiceLoad;
@@ -64,9 +65,9 @@
   private @Nullable Membership membership;
   private boolean isWritingMembers;
   private long joinLoggedAt = System.nanoTime() - MIN_JOIN_LOG_INTERVAL_NANOS;
-  private long membersRevision;
+  private StorePlace membersPlace = StorePlace.START;
   private boolean relayEnded;
-  private long relayedRevision;
+  private StorePlace relayedPlace = StorePlace.START;
   private long relayedConfirmedAt;
   private boolean isMovingAnnouncementDue;
   private long movingAnnouncedAt = System.nanoTime();
@@ -192,11 +193,11 @@
     if (isMovingAnnouncementDue && now - movingAnnouncedAt >= MIN_MOVING_INTERVAL_NANOS) {
       announceMoving(now);
     }
-    long revision = store.revision();
-    if (revision != relayedRevision || store.confirmedAt() != relayedConfirmedAt) {
-      relayedRevision = revision;
+    StorePlace place = store.place();
+    if (!place.equals(relayedPlace) || store.confirmedAt() != relayedConfirmedAt) {
+      relayedPlace = place;
       relayedConfirmedAt = store.confirmedAt();
-      relayUpdates(revision, now);
+      relayUpdates(place, now);
     }
   }
 
@@ -234,7 +235,7 @@
     long now = System.nanoTime();
     aggregator.onReport(from, hostReport, now).forEach(target -> onLeaving.accept(target, from));
     if (!from.equals(host)) {
-      relay.onReport(from, hostReport.storeRevision(), hostReport.sentAt());
+      relay.onReport(from, hostReport.store().place(), hostReport.sentAt());
     }
     if (membership != null) {
       membership.onReport(from, hostReport.approvals(), now);
@@ -246,13 +247,13 @@
     StoreView v = view.get();
     Membership m = membership;
     if (m == null) {
-      membersRevision = v.membersRevision();
+      membersPlace = v.membersPlace();
       membership = Membership.create(v.memberList(), host, now);
       return;
     }
     // A view from before this host's last write says nothing about it.
-    if (v.membersRevision() != membersRevision && v.revision() >= membersRevision) {
-      membersRevision = v.membersRevision();
+    if (!v.membersPlace().equals(membersPlace) && !membersPlace.isAfter(v.place())) {
+      membersPlace = v.membersPlace();
       m.onStored(v.memberList(), now);
     }
     if (!store.isCurrent(now)) {
@@ -274,13 +275,13 @@
     }
     isWritingMembers = true;
     store
-        .writeMembers(next.get(), membersRevision, lease)
+        .writeMembers(next.get(), membersPlace.revision(), lease)
         .thenAccept(
             result -> {
               isWritingMembers = false;
               if (result.result() == SharedStore.CallResult.DONE) {
                 logMembers(next.get());
-                membersRevision = result.revision();
+                membersPlace = new StorePlace(lease.term().era(), result.revision());
                 m.onStored(next.get(), System.nanoTime());
               } else {
                 Logger.warn(
@@ -306,7 +307,7 @@
     }
     isWritingMembers = true;
     store
-        .objectToRemoval(v.memberList().trusting(host), v.membersRevision())
+        .objectToRemoval(v.memberList().trusting(host), v.membersPlace())
         .thenAccept(
             result -> {
               isWritingMembers = false;
@@ -352,11 +353,11 @@
   }
 
   /** Sends each host the store updates that it lacks, or the confirmation that there are none. */
-  private void relayUpdates(long revision, long now) {
+  private void relayUpdates(StorePlace place, long now) {
     relay.retain(aggregator.hosts(now).keySet());
     long ageMicros = TimeUnit.NANOSECONDS.toMicros(now - store.confirmedAt());
-    Map<Long, StoreNews> updatesBySince = new HashMap<>();
-    for (StoreUpdateRelay.Frame f : relay.due(revision, store.trackedSince(), now)) {
+    Map<StorePlace, StoreNews> updatesBySince = new HashMap<>();
+    for (StoreUpdateRelay.Frame f : relay.due(place, store.trackedSince(), now)) {
       if (!budget.hasCapacity(links.unsentBytes())) {
         Logger.debug("the link is at capacity; hosts that lack updates poll the store");
         return;
@@ -366,7 +367,7 @@
           updates.toBuilder().setEchoedAt(f.echoedAt()).setAgeMicros(ageMicros).build();
       Envelope frame = Envelope.newBuilder().setStoreNews(message).build();
       links.send(f.host(), frame);
-      relay.onSent(f, revision, now);
+      relay.onSent(f, place, now);
       log.onUpdate(frame.getSerializedSize());
     }
   }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/OwnershipLog.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/OwnershipLog.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.cowslipmoor.core.fleet.StorePlace;
 import org.cowslipmoor.core.range.GrantOutcome;
 import org.cowslipmoor.core.range.Leadership;
 import org.cowslipmoor.core.range.RangeEntry;
@@ -73,13 +74,15 @@
 
   void onTermStart(RangeTable table, Leadership.@Nullable Lease lease) {
     accepted.clear();
+    StorePlace term = lease == null ? StorePlace.START : lease.term();
     line(
-        "event=tenure_begin table=%d ranges=%d last_fence=%d lease=%d term=%d",
+        "event=tenure_begin table=%d ranges=%d last_fence=%d lease=%d term=%d%s",
         table.version(),
         table.entries().size(),
         table.lastFence(),
         lease == null ? 0 : lease.id(),
-        lease == null ? 0 : lease.term());
+        term.revision(),
+        term.era() == 0 ? "" : " era=" + term.era());
   }
 
   void onTermEnd(String reason) {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/SharedStore.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/SharedStore.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.cowslipmoor.core.fleet.MemberList;
+import org.cowslipmoor.core.fleet.StorePlace;
 import org.cowslipmoor.core.range.Leadership;
 import org.cowslipmoor.core.range.RangeTable;
 import org.cowslipmoor.schema.fleet.StoreNews;
@@ -29,14 +30,20 @@
   /** Returns the time at which the cached state was last known to be current. */
   long confirmedAt();
 
-  /** Returns the revision up to which all changes are cached, whether or not there were any. */
-  long revision();
+  /**
+   * Returns the newest era of the store that this host knows, also one of which it has read
+   * nothing; 0 if the store names none.
+   */
+  long era();
+
+  /** Returns the place up to which all changes are cached, whether or not there were any. */
+  StorePlace place();
 
-  /** Returns the revision after which all changes are available here, deletions included. */
-  long trackedSince();
+  /** Returns the place after which all changes are available here, deletions included. */
+  StorePlace trackedSince();
 
-  /** Returns the changes after a revision, or the whole state if that is 0. */
-  StoreNews updatesSince(long revision);
+  /** Returns the changes after a place, or the whole state if that is the start. */
+  StoreNews updatesSince(StorePlace place);
 
   /**
    * Returns the update that names the coordinator, without the changes before it. A host that
@@ -58,7 +65,7 @@
 
   /**
    * Writes the range table if the lease's claim is still valid and the store has the given revision
-   * of the table.
+   * of the table. Revisions of conditions and results are of the era of the lease.
    */
   CompletableFuture<WriteResult> write(RangeTable table, long revision, Leadership.Lease lease);
 
@@ -67,10 +74,10 @@
       MemberList list, long revision, Leadership.Lease lease);
 
   /**
-   * Writes the members in which this host no longer is suspected, if the store has the given
-   * revision; needs no claim.
+   * Writes the members in which this host no longer is suspected, if the store has them as of the
+   * given place; needs no claim.
    */
-  CompletableFuture<WriteResult> objectToRemoval(MemberList list, long revision);
+  CompletableFuture<WriteResult> objectToRemoval(MemberList list, StorePlace place);
 
   /** Reads the range table and its revision. */
   CompletableFuture<TableResult> readTable();
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/StoreView.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/StoreView.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableSet;
 import org.cowslipmoor.core.discovery.TargetDirectory;
 import org.cowslipmoor.core.fleet.MemberList;
+import org.cowslipmoor.core.fleet.StorePlace;
 import org.cowslipmoor.core.range.RangeTable;
 import org.cowslipmoor.core.routing.RoutingConfiguration;
 import org.jspecify.annotations.Nullable;
@@ -16,10 +17,10 @@
  * @param tableRevision the store's revision of that table, for a conditional write; 0 when there is
  *     none
  * @param memberList the hosts that are members
- * @param membersRevision the store's revision of the members; 0 when there are none
+ * @param membersPlace the place in the store of the members; the start when there are none
  * @param coordinator the host that is the coordinator; null when there is none
  * @param isLoaded whether the store has been read
- * @param revision the newest revision of the store that is cached
+ * @param place the newest place in the store that is cached
  */
 public record StoreView(
     @Nullable RoutingConfiguration configuration,
@@ -27,19 +28,19 @@
     RangeTable table,
     long tableRevision,
     MemberList memberList,
-    long membersRevision,
+    StorePlace membersPlace,
     @Nullable Coordinator coordinator,
     boolean isLoaded,
-    long revision) {
+    StorePlace place) {
 
   /**
    * The host that is the coordinator.
    *
    * @param host its id
    * @param linkAddress where it accepts links from other hosts, as {@code ip:port}
-   * @param term number of its leadership term: the store's revision of its claim
+   * @param term its leadership term: the place of its claim in the store
    */
-  public record Coordinator(String host, String linkAddress, long term) {}
+  public record Coordinator(String host, String linkAddress, StorePlace term) {}
 
   /** Returns the ids of the hosts that are members; empty before the first one. */
   public ImmutableSet<String> members() {
@@ -54,10 +55,10 @@
         table,
         tableRevision,
         memberList,
-        membersRevision,
+        membersPlace,
         coordinator,
         isLoaded,
-        revision);
+        place);
   }
 
   /** Returns the view of a host that has not read the store. */
@@ -68,9 +69,9 @@
         RangeTable.empty(),
         0,
         MemberList.empty(),
-        0,
+        StorePlace.START,
         null,
         false,
-        0);
+        StorePlace.START);
   }
 }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -23,6 +23,7 @@
 import org.cowslipmoor.core.fleet.HostReport;
 import org.cowslipmoor.core.range.KeyCounts;
 import org.cowslipmoor.core.range.Leadership;
+import org.cowslipmoor.core.range.RangeTable;
 import org.cowslipmoor.core.range.RangeTiming;
 import org.cowslipmoor.core.range.ServiceLoad;
 import org.cowslipmoor.core.request.SharedRetryBudget;
@@ -294,10 +295,11 @@
   }
 
   private HostReport createReport() {
+    RangeTable table = gateway.view().table();
     return new HostReport(
         keyCounts.drain(),
         loadBalancer.drainSamples(),
-        store.revision(),
+        new HostReport.StoreKnowledge(store.place(), table.version(), table.lastFence()),
         gateway.candidates(),
         gateway.leavingTargets(),
         System.nanoTime());
--- a/daemon/src/test/java/org/cowslipmoor/daemon/codec/FleetCodecTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/codec/FleetCodecTest.java
@@ -12,6 +12,7 @@
 import org.cowslipmoor.core.discovery.TargetIncarnation;
 import org.cowslipmoor.core.fleet.FleetState;
 import org.cowslipmoor.core.fleet.HostReport;
+import org.cowslipmoor.core.fleet.StorePlace;
 import org.cowslipmoor.core.range.KeyRange;
 import org.cowslipmoor.schema.fleet.KeyLoad;
 import org.cowslipmoor.schema.fleet.LeavingTarget;
@@ -25,7 +26,7 @@
         new HostReport(
             ImmutableMap.of("stock", ImmutableMap.of(3, 7)),
             ImmutableMap.of("t", new HostReport.TargetSample(2, 5, 4_000_000)),
-            17,
+            new HostReport.StoreKnowledge(new StorePlace(2, 17), 9, 40),
             ImmutableSet.of("new"),
             ImmutableSet.of(new TargetIncarnation("t", 1_796_000_000_000L)),
             -5);
@@ -76,7 +77,12 @@
             .collect(ImmutableSet.toImmutableSet());
     HostReport report =
         new HostReport(
-            ImmutableMap.of(), ImmutableMap.of(), 17, ImmutableSet.of(), leaving, 1_000_000_000L);
+            ImmutableMap.of(),
+            ImmutableMap.of(),
+            new HostReport.StoreKnowledge(new StorePlace(2, 17), 9, 1_000_000_040L),
+            ImmutableSet.of(),
+            leaving,
+            1_000_000_000L);
     FleetState state =
         new FleetState(
             1_000, ImmutableMap.of(), 8, ImmutableList.of(), ImmutableSet.of(), true, leaving);
--- a/daemon/src/test/java/org/cowslipmoor/daemon/coordination/CoordinationTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/coordination/CoordinationTest.java
@@ -13,6 +13,7 @@
 import org.cowslipmoor.core.discovery.TargetIncarnation;
 import org.cowslipmoor.core.fleet.CoordinationLoad;
 import org.cowslipmoor.core.fleet.MemberList;
+import org.cowslipmoor.core.fleet.StorePlace;
 import org.cowslipmoor.core.range.KeyRange;
 import org.cowslipmoor.core.range.Leadership;
 import org.cowslipmoor.core.range.RangeEntry;
@@ -52,10 +53,10 @@
                   RangeTable.empty(),
                   0,
                   MemberList.empty(),
-                  0,
+                  StorePlace.START,
                   null,
                   true,
-                  1),
+                  new StorePlace(0, 1)),
           unused -> ServiceLoad.uniform(),
           new CoordinationLoad(1e8, 1),
           () -> now,
--- a/daemon/src/test/java/org/cowslipmoor/daemon/coordination/OwnershipLogTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/coordination/OwnershipLogTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.cowslipmoor.core.discovery.TargetIncarnation;
+import org.cowslipmoor.core.fleet.StorePlace;
 import org.cowslipmoor.core.range.GrantOutcome;
 import org.cowslipmoor.core.range.KeyRange;
 import org.cowslipmoor.core.range.Leadership;
@@ -32,7 +33,7 @@
         new RangeEntry(
             "stock", new KeyRange(0, 9), new TargetIncarnation("t2", 6), "t2:1", 8, null);
 
-    log.onTermStart(table, new Leadership.Lease(11, 12));
+    log.onTermStart(table, new Leadership.Lease(11, new StorePlace(0, 12)));
     log.onLease(false, 800 * NANOS_PER_MILLI);
     log.onWrite(table, SharedStore.CallResult.UNKNOWN, 9 * NANOS_PER_MILLI);
     log.onLookUp(table, "not_written", 3 * NANOS_PER_MILLI);
--- a/daemon/src/test/java/org/cowslipmoor/daemon/coordination/ScriptedStore.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/coordination/ScriptedStore.java
@@ -9,13 +9,14 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.function.Consumer;
 import org.cowslipmoor.core.fleet.MemberList;
+import org.cowslipmoor.core.fleet.StorePlace;
 import org.cowslipmoor.core.range.Leadership;
 import org.cowslipmoor.core.range.RangeTable;
 import org.cowslipmoor.schema.fleet.StoreNews;
 
 /** A store whose reads the test completes, and whose writes get no response. */
 final class ScriptedStore implements SharedStore {
-  static final Leadership.Lease LEASE = new Leadership.Lease(1, 2);
+  static final Leadership.Lease LEASE = new Leadership.Lease(1, new StorePlace(0, 2));
 
   /** Marks the update that names the coordinator. */
   static final long COORDINATOR_UPDATE = 77;
@@ -51,17 +52,22 @@
   }
 
   @Override
-  public long revision() {
-    return 1;
+  public long era() {
+    return 0;
   }
 
   @Override
-  public long trackedSince() {
-    return 0;
+  public StorePlace place() {
+    return new StorePlace(0, 1);
+  }
+
+  @Override
+  public StorePlace trackedSince() {
+    return StorePlace.START;
   }
 
   @Override
-  public StoreNews updatesSince(long revision) {
+  public StoreNews updatesSince(StorePlace place) {
     return StoreNews.getDefaultInstance();
   }
 
@@ -106,7 +112,7 @@
   }
 
   @Override
-  public CompletableFuture<WriteResult> objectToRemoval(MemberList list, long revision) {
+  public CompletableFuture<WriteResult> objectToRemoval(MemberList list, StorePlace place) {
     objections.add(list);
     return CompletableFuture.completedFuture(new WriteResult(CallResult.UNKNOWN, 0));
   }
--- a/daemon/src/test/java/org/cowslipmoor/daemon/coordination/SuccessorTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/coordination/SuccessorTest.java
@@ -25,6 +25,7 @@
 import org.cowslipmoor.core.fleet.CoordinationLoad;
 import org.cowslipmoor.core.fleet.HostReport;
 import org.cowslipmoor.core.fleet.MemberList;
+import org.cowslipmoor.core.fleet.StorePlace;
 import org.cowslipmoor.core.range.Leadership;
 import org.cowslipmoor.core.range.RangeTable;
 import org.cowslipmoor.core.range.RangeTiming;
@@ -109,7 +110,7 @@
       return new HostReport(
           ImmutableMap.of(),
           ImmutableMap.of(),
-          1,
+          HostReport.StoreKnowledge.NONE,
           ImmutableSet.of(),
           ImmutableSet.copyOf(leaving),
           System.nanoTime());
@@ -122,14 +123,14 @@
           RangeTable.empty(),
           0,
           members,
-          1,
+          new StorePlace(0, 1),
           coordinator,
           true,
-          1);
+          new StorePlace(0, 1));
     }
 
     StoreView.Coordinator asCoordinator(long term) {
-      return new StoreView.Coordinator(id, address, term);
+      return new StoreView.Coordinator(id, address, term(term));
     }
 
     /** Applies the store's state, in which the given host is the coordinator. */
@@ -145,7 +146,7 @@
       store.claim =
           CompletableFuture.completedFuture(
               new SharedStore.ClaimResult(
-                  SharedStore.CallResult.DONE, new Leadership.Lease(term, term)));
+                  SharedStore.CallResult.DONE, new Leadership.Lease(term, term(term))));
       learn(null);
       long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
       while (!coordination.isCoordinator() && System.nanoTime() - until < 0) {
@@ -176,6 +177,10 @@
     }
   }
 
+  private static StorePlace term(long revision) {
+    return new StorePlace(0, revision);
+  }
+
   private void run(Runnable task) throws Exception {
     group.next().submit(task).get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
   }
@@ -189,9 +194,9 @@
     Host predecessor = new Host("old");
     Host successor = new Host("new");
     final Host reporter = new Host("reporter");
-    predecessor.becomeCoordinator(ScriptedStore.LEASE.term());
-    reporter.learn(predecessor.asCoordinator(ScriptedStore.LEASE.term()));
-    successor.learn(predecessor.asCoordinator(ScriptedStore.LEASE.term()));
+    predecessor.becomeCoordinator(ScriptedStore.LEASE.term().revision());
+    reporter.learn(predecessor.asCoordinator(ScriptedStore.LEASE.term().revision()));
+    successor.learn(predecessor.asCoordinator(ScriptedStore.LEASE.term().revision()));
     successor.becomeCoordinator(NEW_TERM);
     reporter.store.relayed.clear();
     predecessor.store.relayed.clear();
@@ -215,8 +220,8 @@
     Host predecessor = new Host("old");
     final Host successor = new Host("new");
     Host reporter = new Host("reporter");
-    predecessor.becomeCoordinator(ScriptedStore.LEASE.term());
-    reporter.learn(predecessor.asCoordinator(ScriptedStore.LEASE.term()));
+    predecessor.becomeCoordinator(ScriptedStore.LEASE.term().revision());
+    reporter.learn(predecessor.asCoordinator(ScriptedStore.LEASE.term().revision()));
     reporter.leaving.add(LEAVING.incarnation());
     tickUntilContained(predecessor.leaving, reporter);
     tickUntilContained(reporter.listed, predecessor);
@@ -261,7 +266,7 @@
     Host host = new Host("new");
     host.becomeCoordinator(NEW_TERM);
 
-    host.learn(new StoreView.Coordinator("old", "127.0.0.1:9", NEW_TERM - 1));
+    host.learn(new StoreView.Coordinator("old", "127.0.0.1:9", term(NEW_TERM - 1)));
 
     assertThat(host.coordination.isCoordinator(), is(true));
   }
@@ -273,7 +278,7 @@
   void suspectedMemberObjectsInTheStore() throws Exception {
     Host host = new Host("a");
     host.members = MemberList.of(ImmutableSet.of("a", "b")).suspecting(ImmutableSet.of("a", "b"));
-    host.learn(new StoreView.Coordinator("other", "127.0.0.1:9", NEW_TERM));
+    host.learn(new StoreView.Coordinator("other", "127.0.0.1:9", term(NEW_TERM)));
 
     run(host.fleet::tick);
 
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/FixedStore.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/FixedStore.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.cowslipmoor.core.fleet.MemberList;
+import org.cowslipmoor.core.fleet.StorePlace;
 import org.cowslipmoor.core.range.Leadership;
 import org.cowslipmoor.core.range.RangeTable;
 import org.cowslipmoor.daemon.coordination.SharedStore;
@@ -35,17 +36,22 @@
   }
 
   @Override
-  public long revision() {
-    return view.revision();
+  public long era() {
+    return 0;
   }
 
   @Override
-  public long trackedSince() {
-    return 0;
+  public StorePlace place() {
+    return view.place();
+  }
+
+  @Override
+  public StorePlace trackedSince() {
+    return StorePlace.START;
   }
 
   @Override
-  public StoreNews updatesSince(long revision) {
+  public StoreNews updatesSince(StorePlace place) {
     return StoreNews.getDefaultInstance();
   }
 
@@ -85,7 +91,7 @@
   }
 
   @Override
-  public CompletableFuture<WriteResult> objectToRemoval(MemberList list, long revision) {
+  public CompletableFuture<WriteResult> objectToRemoval(MemberList list, StorePlace place) {
     return CompletableFuture.completedFuture(new WriteResult(CallResult.UNKNOWN, 0));
   }
 
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/LoopbackGateway.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/LoopbackGateway.java
@@ -23,6 +23,7 @@
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.discovery.TargetDirectory;
 import org.cowslipmoor.core.fleet.MemberList;
+import org.cowslipmoor.core.fleet.StorePlace;
 import org.cowslipmoor.core.range.GrantOutcome;
 import org.cowslipmoor.core.range.KeyRange;
 import org.cowslipmoor.core.range.RangeEntry;
@@ -112,10 +113,10 @@
         table,
         1,
         MemberList.of(members),
-        1,
+        new StorePlace(0, 1),
         null,
         true,
-        1);
+        new StorePlace(0, 1));
   }
 
   WebClient client(int port) {
--- a/testing/src/main/java/org/cowslipmoor/testing/leaving/LeavingSimulation.java
+++ b/testing/src/main/java/org/cowslipmoor/testing/leaving/LeavingSimulation.java
@@ -276,7 +276,7 @@
           new HostReport(
               ImmutableMap.of(),
               ImmutableMap.of(),
-              0,
+              HostReport.StoreKnowledge.NONE,
               ImmutableSet.of(),
               ImmutableSet.of(),
               events.now());
--- a/testing/src/main/java/org/cowslipmoor/testing/placement/PlacementSimulation.java
+++ b/testing/src/main/java/org/cowslipmoor/testing/placement/PlacementSimulation.java
@@ -252,7 +252,7 @@
           new HostReport(
               ImmutableMap.of(),
               balancer.drainSamples(),
-              0,
+              HostReport.StoreKnowledge.NONE,
               ImmutableSet.of(),
               ImmutableSet.of(),
               events.now());
