Restore the table, the members and the fence when the store comes back older

Cause: after a restoration the lease of the coordinator is gone, and the table, members and last fence in the store are older than those in effect. A coordinator that begins by them grants keys to former owners under fences that were used before.

Change: a coordinator stops as soon as it learns of a newer era, from a response of the store or from a host's report. The first coordinator of an era hears the reports of a majority of the members (2 s at most), asks the holder of the newest table for it, and writes table and members in one conditional transaction, with version and last fence above all that were heard (TableRestoration). Until all former grants have expired, no service without an entry is assigned, and ranges that were being transferred get no grant (RangeCoordinator.beginRestored). Terms in era 0 begin as before. A renewal's response that arrives after its term has ended no longer counts for the next one.

--- a/core/src/main/java/org/cowslipmoor/core/range/EntryState.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/EntryState.java
@@ -57,6 +57,9 @@
   /** Time until which the owner may hold the keys by grants under lower fences. */
   long inheritedUntil;
 
+  /** Time until which no command is sent, since another target may hold the keys. */
+  long withheldUntil;
+
   EntryState(RangeEntry entry, long now) {
     this.entry = entry;
     this.nextGrantAt = now;
@@ -65,6 +68,7 @@
     this.heldUntil = now;
     this.unsettledUntil = now;
     this.inheritedUntil = now;
+    this.withheldUntil = now;
   }
 
   /** Returns a copy of this state for a part of its keys. No command may be in flight. */
@@ -78,6 +82,7 @@
     copy.heldUntil = heldUntil;
     copy.unsettledUntil = unsettledUntil;
     copy.inheritedUntil = inheritedUntil;
+    copy.withheldUntil = withheldUntil;
     return copy;
   }
 
@@ -86,6 +91,7 @@
    */
   void inheritFrom(EntryState former) {
     inheritedUntil = former.mayHoldUntil();
+    withheldUntil = former.withheldUntil;
   }
 
   /** Returns the time until which the owner may hold the keys if it does not release them. */
--- a/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/RangeCoordinator.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.discovery.TargetDirectory;
 import org.cowslipmoor.core.discovery.TargetIncarnation;
@@ -63,8 +64,16 @@
 
   private record ObservedTargets(ImmutableSet<String> targets, long since, long firstSeen) {}
 
+  /** Time from which on services without an owner of any key are assigned. */
+  private final long assignsFrom;
+
   private RangeCoordinator(
-      RangeTable stored, RangeTiming timing, RangeListener listener, long now) {
+      RangeTable stored,
+      List<FleetState.MovingRange> withheld,
+      long restoredAt,
+      RangeTiming timing,
+      RangeListener listener,
+      long now) {
     this.timing = timing;
     this.listener = listener;
     this.version = stored.version();
@@ -73,10 +82,12 @@
     this.nextRebalanceAt = now + timing.rebalanceIntervalNanos();
     this.nextWriteAt = now;
     this.lastTickAt = now;
-    for (RangeEntry e : mergeAdjacent(stored)) {
+    this.assignsFrom = timing.expiry(restoredAt + timing.overlapNanos(), timing.longHoldNanos());
+    for (RangeEntry e : splitAtMoving(mergeAdjacent(stored), withheld)) {
       lastFence++;
       EntryState s = new EntryState(e.withFence(lastFence), now);
       s.inheritedUntil = timing.expiry(overlapUntil, timing.longHoldNanos());
+      s.withheldUntil = isMoving(e, withheld) ? s.inheritedUntil : now;
       states.add(s);
       isWriteNeeded = true;
     }
@@ -92,7 +103,29 @@
    */
   public static RangeCoordinator begin(
       RangeTable stored, RangeTiming timing, RangeListener listener, long now) {
-    return new RangeCoordinator(stored, timing, listener, now);
+    // All grants of an era that ended so long ago have expired.
+    long longAgo = now - timing.expiry(timing.overlapNanos(), timing.longHoldNanos());
+    return new RangeCoordinator(stored, ImmutableList.of(), longAgo, timing, listener, now);
+  }
+
+  /**
+   * Begins a leadership term while grants may be valid that were given under a table that the store
+   * has lost. Services without an entry, which may have had owners, wait until all of these have
+   * expired.
+   *
+   * @param stored the restored table
+   * @param withheld ranges that were being transferred as of the newest table that is known: the
+   *     next owner may hold them already, so that no grant of them is sent until all have expired
+   * @param restoredAt time of the restoration, or at which this host learnt of the new era
+   */
+  public static RangeCoordinator beginRestored(
+      RangeTable stored,
+      List<FleetState.MovingRange> withheld,
+      long restoredAt,
+      RangeTiming timing,
+      RangeListener listener,
+      long now) {
+    return new RangeCoordinator(stored, withheld, restoredAt, timing, listener, now);
   }
 
   /**
@@ -222,7 +255,7 @@
       long holdNanos,
       TargetDirectory directory,
       ImmutableList.Builder<RangeAction> actions) {
-    if (!s.isWritten || s.isInFlight()) {
+    if (!s.isWritten || s.isInFlight() || now - s.withheldUntil < 0) {
       return;
     }
     if (mustRelease(now, s, directory) && !mustGrantBeforeRelease(now, s, holdNanos, directory)) {
@@ -291,6 +324,9 @@
   }
 
   private void assignNewServices(long now, RangeInputs inputs) {
+    if (now - assignsFrom < 0) {
+      return;
+    }
     for (String service : inputs.services()) {
       if (states.stream().anyMatch(s -> s.entry.service().equals(service))) {
         observedTargets.remove(service);
@@ -470,6 +506,31 @@
     return null;
   }
 
+  /** Splits entries so that each one's keys either all are or all are not being transferred. */
+  private static List<RangeEntry> splitAtMoving(
+      List<RangeEntry> entries, List<FleetState.MovingRange> moving) {
+    List<RangeEntry> result = new ArrayList<>();
+    for (RangeEntry e : entries) {
+      TreeSet<Integer> starts = new TreeSet<>(List.of(e.range().from()));
+      for (FleetState.MovingRange m : moving) {
+        if (m.service().equals(e.service())) {
+          starts.addAll(List.of(m.range().from(), m.range().to() + 1));
+        }
+      }
+      for (int from : starts.subSet(e.range().from(), true, e.range().to(), true)) {
+        Integer next = starts.higher(from);
+        int to = next == null ? e.range().to() : Math.min(e.range().to(), next - 1);
+        result.add(e.subrange(from, to));
+      }
+    }
+    return result;
+  }
+
+  private static boolean isMoving(RangeEntry e, List<FleetState.MovingRange> moving) {
+    return moving.stream()
+        .anyMatch(m -> m.service().equals(e.service()) && m.range().contains(e.range().from()));
+  }
+
   /** Merges adjacent entries of the same owner, which get a new fence in any case. */
   private static List<RangeEntry> mergeAdjacent(RangeTable stored) {
     List<RangeEntry> result = new ArrayList<>();
--- a/core/src/main/java/org/cowslipmoor/core/range/RangeTiming.java
+++ b/core/src/main/java/org/cowslipmoor/core/range/RangeTiming.java
@@ -73,6 +73,14 @@
         commandTimeoutMillis * NANOS_PER_MILLI);
   }
 
+  /**
+   * Returns the time from the beginning of a term until all grants of former coordinators have
+   * certainly expired.
+   */
+  public long formerGrantsNanos() {
+    return expiry(overlapNanos, longHoldNanos);
+  }
+
   /**
    * Returns the time at which a grant that arrived no later than {@code arrival} has certainly
    * expired, whatever the error of the target's clock.
--- a/core/src/test/java/org/cowslipmoor/core/range/FakeHost.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/FakeHost.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import java.util.List;
 import java.util.SplittableRandom;
 import org.cowslipmoor.core.discovery.LeavingTargets;
 import org.cowslipmoor.core.discovery.TargetDirectory;
@@ -13,6 +14,7 @@
 import org.cowslipmoor.core.fleet.FleetState;
 import org.cowslipmoor.core.fleet.HostReport;
 import org.cowslipmoor.core.fleet.LeavingReports;
+import org.cowslipmoor.core.fleet.MemberList;
 import org.cowslipmoor.core.fleet.StorePlace;
 
 /**
@@ -54,6 +56,26 @@
   private long resumesAt;
   private boolean wasSuspended;
 
+  private final LostHistory history = new LostHistory();
+  private TableRestoration restoration;
+  private FakeStore.Records storedRecords;
+  private boolean areRecordsOutdated;
+  private List<FleetState.MovingRange> moving = List.of();
+
+  /** What this host knows of the store, also from a former era. */
+  private static final class LostHistory {
+    long era;
+    long restoredAt = -1;
+    RangeTable table = RangeTable.empty();
+    MemberList members = MemberList.empty();
+  }
+
+  /** Whether this host does not know of eras, as before there were any. */
+  boolean ignoresEra;
+
+  /** Whether this host begins a term by the table in the store, however old that is. */
+  boolean trustsRestoredTable;
+
   /** Timing that this host uses. */
   RangeTiming timing = timing(10_000);
 
@@ -100,7 +122,11 @@
   }
 
   boolean leads() {
-    return coordinator != null && leadership.leads(now());
+    return (coordinator != null || restoration != null) && leadership.leads(now());
+  }
+
+  String id() {
+    return id;
   }
 
   /** Returns the term of this host's lease, which it must hold. */
@@ -112,6 +138,166 @@
     isRunning = false;
   }
 
+  long knownEra() {
+    return history.era;
+  }
+
+  /** Returns the members that this host knows. */
+  MemberList members() {
+    return history.members;
+  }
+
+  RangeTable knownTable() {
+    return history.table;
+  }
+
+  /** Learns of the store's era; a new one ends the term of a lease that the store has lost. */
+  void onEra(long era) {
+    if (ignoresEra || era <= history.era) {
+      return;
+    }
+    history.era = era;
+    history.restoredAt = now();
+    Leadership.Lease held = leadership.lease();
+    if (held != null && held.term().era() < era) {
+      leadership.onLeaseLost(now());
+      coordinator = null;
+      restoration = null;
+    }
+  }
+
+  /** Takes over what the store has; a table of an older copy does not replace a newer one. */
+  private void readStore() {
+    onEra(store.era());
+    boolean isOlder = !ignoresEra && store.table().version() < history.table.version();
+    if (!isOlder) {
+      history.table = store.table();
+    }
+    if (store.tableEra() == history.era || history.members.members().isEmpty()) {
+      history.members = store.members();
+    }
+  }
+
+  private TableRestoration.Records records() {
+    return new TableRestoration.Records(history.table, history.members);
+  }
+
+  private HostReport.StoreKnowledge knowledge() {
+    return new HostReport.StoreKnowledge(
+        new StorePlace(history.era, 1), history.table.version(), history.table.lastFence());
+  }
+
+  /** Exchanges what hosts know of the table, and which ranges are being transferred. */
+  private void exchangeKnowledge() {
+    HostReport.StoreKnowledge known = knowledge();
+    simulation
+        .coordinator()
+        .filter(c -> c != this && c.restoration != null)
+        .ifPresent(c -> simulation.exchange(c, () -> c.onKnowledge(id, known)));
+    RangeCoordinator c = coordinator;
+    if (c != null) {
+      List<FleetState.MovingRange> ranges = c.moving();
+      simulation.runningHosts().forEach(to -> simulation.exchange(to, () -> to.moving = ranges));
+    }
+  }
+
+  private void onKnowledge(String from, HostReport.StoreKnowledge known) {
+    if (restoration != null) {
+      restoration.onReport(from, known);
+    }
+  }
+
+  private void readRecords() {
+    if (isReading) {
+      return;
+    }
+    isReading = true;
+    Leadership.Lease lease = leadership.lease();
+    store.readRecords(
+        this,
+        read -> {
+          isReading = false;
+          if (read.known() && leadership.leads(now()) && lease.equals(leadership.lease())) {
+            onRecords(read);
+          }
+        });
+  }
+
+  private void onRecords(FakeStore.Records read) {
+    areRecordsOutdated = false;
+    if (trustsRestoredTable || read.tableEra() == leadership.lease().term().era()) {
+      restoration = null;
+      tableRevision = read.revision();
+      long restoredAt = history.restoredAt < 0 ? now() - 60_000_000_000L : history.restoredAt;
+      coordinator =
+          RangeCoordinator.beginRestored(
+              read.records().table(), List.of(), restoredAt, timing, RangeListener.NONE, now());
+      return;
+    }
+    storedRecords = read;
+    if (restoration == null) {
+      restoration = TableRestoration.begin(id, records(), read.records(), now());
+    } else {
+      restoration.onStored(read.records());
+    }
+  }
+
+  private void restore(TableRestoration r) {
+    if (areRecordsOutdated) {
+      readRecords();
+      return;
+    }
+    for (TableRestoration.Step step : r.tick(now())) {
+      switch (step) {
+        case TableRestoration.Step.Ask ask -> ask(ask.host());
+        case TableRestoration.Step.Write write -> writeRestored(r, write.records());
+      }
+    }
+  }
+
+  private void ask(String other) {
+    simulation.runningHosts().stream()
+        .filter(h -> h.id.equals(other))
+        .forEach(
+            h ->
+                simulation.exchange(
+                    h,
+                    () -> {
+                      TableRestoration.Records records = h.records();
+                      simulation.exchange(this, () -> onAnswer(h.id, records));
+                    }));
+  }
+
+  private void onAnswer(String from, TableRestoration.Records records) {
+    if (restoration != null) {
+      restoration.onAnswer(from, records);
+    }
+  }
+
+  private void writeRestored(TableRestoration r, TableRestoration.Records records) {
+    Leadership.Lease lease = leadership.lease();
+    store.writeRestored(
+        this,
+        records,
+        storedRecords.revision(),
+        lease,
+        written -> {
+          if (restoration != r) {
+            return;
+          }
+          if (written.result() != FakeStore.Result.DONE) {
+            areRecordsOutdated = true;
+            return;
+          }
+          restoration = null;
+          tableRevision = written.revision();
+          history.table = records.table();
+          coordinator =
+              RangeCoordinator.beginRestored(
+                  records.table(), moving, now(), timing, RangeListener.NONE, now());
+        });
+  }
+
   boolean isRunning() {
     return isRunning;
   }
@@ -184,6 +370,7 @@
     schedule(TICK_NANOS, this::tick);
     handleSuspension(now);
     if (store.isReachableBy(this)) {
+      readStore();
       directory = simulation.directory();
       leaving.onTargets(directory.all().values(), now);
       aggregator.onTargets(directory.all().values());
@@ -192,12 +379,20 @@
     if (simulation.exchangesLeaving && ++ticks % EXCHANGE_TICKS == 0) {
       exchangeLeaving(now);
     }
+    if (simulation.exchangesKnowledge) {
+      exchangeKnowledge();
+    }
     leadership.tick(now).ifPresent(this::call);
     if (leadership.lease() == null) {
+      restoration = null;
       coordinator = null;
     } else if (leadership.leads(now)) {
       RangeCoordinator c = coordinator;
-      if (c == null) {
+      if (restoration != null) {
+        restore(restoration);
+      } else if (c == null && leadership.lease().term().era() > 0) {
+        readRecords();
+      } else if (c == null) {
         beginTerm();
       } else {
         c.tick(now, inputs(now)).forEach(a -> perform(c, a));
@@ -274,6 +469,7 @@
       case REFUSED -> {
         leadership.onLeaseLost(now());
         coordinator = null;
+        restoration = null;
       }
       case UNKNOWN -> leadership.onRenewalUnknown();
       default -> throw new IllegalArgumentException("unknown result: " + result);
@@ -362,6 +558,7 @@
           switch (written.result()) {
             case DONE -> {
               tableRevision = written.revision();
+              history.table = table;
               c.onWritten(table);
             }
             case REFUSED -> endTerm(c);
@@ -383,6 +580,7 @@
           } else if (found.table().version() == table.version()
               && found.table().entries().equals(table.entries())) {
             tableRevision = found.revision();
+            history.table = table;
             c.onWritten(table);
           } else if (found.revision() == tableRevision) {
             c.onNotWritten();
--- a/core/src/test/java/org/cowslipmoor/core/range/FakeStore.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/FakeStore.java
@@ -5,6 +5,7 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.cowslipmoor.core.fleet.MemberList;
 import org.cowslipmoor.core.fleet.StorePlace;
 
 /**
@@ -22,6 +23,9 @@
   private RangeTable table = RangeTable.empty();
   private long tableRevision;
   private long era;
+  private MemberList members = MemberList.empty();
+  private long tableEra;
+  private Copy copy = new Copy(RangeTable.empty(), 0, 0, MemberList.empty(), 0);
   private long revision;
   private Leadership.Lease lease;
   private long leaseUntil;
@@ -50,6 +54,13 @@
 
   record Read(boolean known, RangeTable table, long revision) {}
 
+  /** The table and the members with the era in which the table was written. */
+  record Records(boolean known, TableRestoration.Records records, long revision, long tableEra) {}
+
+  /** What the store comes back from. */
+  private record Copy(
+      RangeTable table, long tableRevision, long tableEra, MemberList members, long revision) {}
+
   FakeStore(VirtualTime time, SplittableRandom random) {
     this.time = time;
     this.random = random;
@@ -78,6 +89,44 @@
     time.schedule(durationNanos, () -> isDown = false);
   }
 
+  /** Takes the copy that the store comes back from. */
+  void takeCopy() {
+    copy = new Copy(table, tableRevision, tableEra, members, revision);
+  }
+
+  /** Comes back from the last copy: what was written since is lost, leases too. */
+  void comeBackOlder() {
+    era++;
+    lease = null;
+    table = copy.table();
+    tableRevision = copy.tableRevision();
+    tableEra = copy.tableEra();
+    members = copy.members();
+    revision = copy.revision();
+  }
+
+  /** Comes back without a table, and without members. */
+  void comeBackEmpty() {
+    copy = new Copy(RangeTable.empty(), 0, 0, MemberList.empty(), 1);
+    comeBackOlder();
+  }
+
+  long tableEra() {
+    return tableEra;
+  }
+
+  long era() {
+    return era;
+  }
+
+  MemberList members() {
+    return members;
+  }
+
+  void setMembers(MemberList list) {
+    members = list;
+  }
+
   /** Ends the coordinator's lease before it expires. */
   void revoke() {
     lease = null;
@@ -124,8 +173,38 @@
     call(host, () -> writeNow(newTable, ifRevision, writer), unknown, callback);
   }
 
+  void readRecords(FakeHost host, Consumer<Records> callback) {
+    Records unknown = new Records(false, TableRestoration.Records.NONE, 0, 0);
+    call(
+        host,
+        () ->
+            new Records(
+                true, new TableRestoration.Records(table, members), tableRevision, tableEra),
+        unknown,
+        callback);
+  }
+
+  /** Writes the restored records if the store has them as they were read. */
+  void writeRestored(
+      FakeHost host,
+      TableRestoration.Records records,
+      long ifRevision,
+      Leadership.Lease writer,
+      Consumer<Written> callback) {
+    call(
+        host,
+        () -> {
+          Written written = writeNow(records.table(), ifRevision, writer);
+          members = written.result() == Result.DONE ? records.members() : members;
+          return written;
+        },
+        new Written(Result.UNKNOWN, 0),
+        callback);
+  }
+
   private Result renewNow(Leadership.Lease renewed) {
-    if (isVacant() || !renewed.equals(lease)) {
+    // The store knows no eras of its callers, and gives out ids and revisions again.
+    if (isVacant() || renewed.id() != lease.id()) {
       return Result.REFUSED;
     }
     leaseUntil = time.now() + FakeHost.LEASE_NANOS;
@@ -134,12 +213,15 @@
   }
 
   private Written writeNow(RangeTable newTable, long ifRevision, Leadership.Lease writer) {
-    if (isVacant() || !lease.term().equals(writer.term()) || ifRevision != tableRevision) {
+    if (isVacant()
+        || lease.term().revision() != writer.term().revision()
+        || ifRevision != tableRevision) {
       return new Written(Result.REFUSED, 0);
     }
     revision++;
     tableRevision = revision;
     table = newTable;
+    tableEra = era;
     writes++;
     return new Written(Result.DONE, revision);
   }
@@ -153,14 +235,25 @@
     if (!isReachableBy(host)) {
       return;
     }
+    long sentInEra = host.knownEra();
     long delayNanos =
         isLate ? latencyNanos + random.nextLong(5_000 * NANOS_PER_MILLI) : latencyNanos;
     time.schedule(
         delayNanos,
         () -> {
           T result = work.get();
+          long executedInEra = era;
           if (!isLost) {
-            time.schedule(latencyNanos, () -> host.onResponse(() -> callback.accept(result)));
+            time.schedule(
+                latencyNanos,
+                () ->
+                    host.onResponse(
+                        () -> {
+                          host.onEra(executedInEra);
+                          // A response of another era than that of the call tells nothing.
+                          boolean isOwn = sentInEra == host.knownEra() || host.ignoresEra;
+                          callback.accept(isOwn ? result : unknown);
+                        }));
           }
         });
   }
--- a/core/src/test/java/org/cowslipmoor/core/range/RangeSimulation.java
+++ b/core/src/test/java/org/cowslipmoor/core/range/RangeSimulation.java
@@ -51,6 +51,9 @@
   /** Whether hosts exchange which targets are leaving; begins with the first statement. */
   boolean exchangesLeaving;
 
+  /** Whether hosts exchange what they know of the range table. */
+  boolean exchangesKnowledge;
+
   /** Maximum time that a report or a state takes from one host to another. */
   long maxExchangeDelayNanos = 20 * NANOS_PER_MILLI;
 
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/Coordination.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/Coordination.java
@@ -6,12 +6,15 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.cowslipmoor.core.fleet.CoordinationLoad;
 import org.cowslipmoor.core.fleet.FleetState;
+import org.cowslipmoor.core.fleet.HostReport;
 import org.cowslipmoor.core.fleet.StorePlace;
 import org.cowslipmoor.core.range.Leadership;
 import org.cowslipmoor.core.range.RangeAction;
@@ -21,6 +24,7 @@
 import org.cowslipmoor.core.range.RangeTable;
 import org.cowslipmoor.core.range.RangeTiming;
 import org.cowslipmoor.core.range.ServiceLoad;
+import org.cowslipmoor.core.range.TableRestoration;
 import org.cowslipmoor.core.routing.RoutingConfiguration;
 import org.cowslipmoor.core.routing.ServiceDescription;
 import org.jspecify.annotations.Nullable;
@@ -35,6 +39,14 @@
   /** Delay between two reads that look up the same table in the store; every call is charged. */
   @VisibleForTesting static final long LOOK_UP_INTERVAL_NANOS = 400_000_000L;
 
+  /**
+   * Number of versions by which a list of ranges that are being transferred may be older than the
+   * newest table. The list is sent four times a second, and a table is written at most about seven
+   * times.
+   */
+  private static final int MOVING_VERSIONS = 2;
+
+  private final String host;
   private final SharedStore store;
   private final TargetCommands commands;
   private final Leadership leadership;
@@ -52,6 +64,15 @@
   private boolean wasRecentlyRenewed;
   private long tableRevision;
   private @Nullable LookUp lookUp;
+  private @Nullable TableRestoration restoration;
+  private SharedStore.RecordsResult storedRecords = SharedStore.RecordsResult.UNKNOWN;
+  private boolean areRecordsOutdated;
+  private RangeTable lastWritten = RangeTable.empty();
+  private ImmutableList<FleetState.MovingRange> lastMoving = ImmutableList.of();
+  private long lastMovingVersion;
+  private long movesFrom;
+  private int restorations;
+  private Consumer<String> onAsk = unused -> {};
 
   /**
    * A scheduled read of the table that finds out the outcome of a write without a response.
@@ -65,11 +86,13 @@
   /**
    * Creates the coordination of a host.
    *
+   * @param host id of this host
    * @param view the host's cached view of the store
    * @param serviceLoads measured load of a keyed service
    * @param coordinationLoad estimate of the load that coordinating puts on this host
    */
   public Coordination(
+      String host,
       SharedStore store,
       TargetCommands commands,
       Leadership leadership,
@@ -78,6 +101,7 @@
       Function<String, ServiceLoad> serviceLoads,
       CoordinationLoad coordinationLoad) {
     this(
+        host,
         store,
         commands,
         leadership,
@@ -92,6 +116,7 @@
   /** Creates the coordination of a host with the given clocks, in nanoseconds. */
   @VisibleForTesting
   Coordination(
+      String host,
       SharedStore store,
       TargetCommands commands,
       Leadership leadership,
@@ -101,6 +126,7 @@
       CoordinationLoad coordinationLoad,
       LongSupplier steadyClock,
       LongSupplier timeOfDay) {
+    this.host = host;
     this.store = store;
     this.commands = commands;
     this.leadership = leadership;
@@ -120,6 +146,7 @@
     checkSuspension(now);
     log.tick(now);
     logRenewalState(now);
+    endTermOfFormerEra(now);
     StoreView v = view.get();
     leadership.onVacancy(
         now,
@@ -128,11 +155,17 @@
     leadership.tick(now).ifPresent(this::call);
     if (leadership.lease() == null) {
       coordinator = null;
+      restoration = null;
       return;
     }
     if (!leadership.leads(now)) {
       return;
     }
+    TableRestoration r = restoration;
+    if (r != null) {
+      restore(r, now);
+      return;
+    }
     RangeCoordinator c = coordinator;
     if (c == null) {
       startTerm();
@@ -146,6 +179,7 @@
   public void resign() {
     Optional<Leadership.Action> end = leadership.resign();
     coordinator = null;
+    restoration = null;
     end.ifPresent(this::call);
   }
 
@@ -161,9 +195,66 @@
     log.onTermEnd("another host is the coordinator");
     leadership.onLeaseLost(now());
     coordinator = null;
+    restoration = null;
     return true;
   }
 
+  /**
+   * Handles a host's report. One of a later era than this host's lease shows that the lease has
+   * ended in the store.
+   */
+  public void onReport(String from, HostReport.StoreKnowledge knowledge) {
+    Leadership.Lease held = leadership.lease();
+    if (held != null && knowledge.place().era() > held.term().era()) {
+      endTermOfEra(held, knowledge.place().era(), now());
+    }
+    if (restoration != null) {
+      restoration.onReport(from, knowledge);
+    }
+  }
+
+  /** Handles the records that a host has sent for the restoration. */
+  public void onRecords(String from, TableRestoration.Records records) {
+    if (restoration != null) {
+      restoration.onAnswer(from, records);
+    }
+  }
+
+  /** Sets the sender of requests for the records of a host. */
+  public void onAsk(Consumer<String> sender) {
+    onAsk = sender;
+  }
+
+  /** Remembers the ranges that the coordinator's state lists as being transferred. */
+  public void onFleetState(FleetState state) {
+    if (state.tableVersion() >= lastMovingVersion) {
+      lastMovingVersion = state.tableVersion();
+      lastMoving = state.moving();
+    }
+  }
+
+  /** Returns the newest table and members that this host knows, as of any era. */
+  public TableRestoration.Records records() {
+    StoreView v = view.get();
+    RangeTable table = lastWritten.version() > v.table().version() ? lastWritten : v.table();
+    return new TableRestoration.Records(table, v.memberList());
+  }
+
+  /** Returns whether this host is restoring the range table and the members. */
+  public boolean isRestoring() {
+    return restoration != null;
+  }
+
+  /** Returns how often this host has restored the range table. */
+  public int restorations() {
+    return restorations;
+  }
+
+  /** Returns the seconds until keys may move without the release by a former era's owner. */
+  public double heldSeconds() {
+    return restorations == 0 ? 0 : Math.max(0, (movesFrom - now()) / 1e9);
+  }
+
   /** Sets a listener that runs when the release of keys begins. */
   public void onReleaseStarted(Runnable listener) {
     onReleaseStarted = listener;
@@ -171,7 +262,7 @@
 
   /** Returns whether this host is the coordinator. */
   public boolean isCoordinator() {
-    return coordinator != null;
+    return coordinator != null || restoration != null;
   }
 
   /** Returns this host's valid lease as coordinator; null without one. */
@@ -191,6 +282,21 @@
     return c == null ? 0 : c.version();
   }
 
+  /** Ends a term whose lease the store has lost by coming back from an older copy. */
+  private void endTermOfFormerEra(long now) {
+    Leadership.Lease held = leadership.lease();
+    if (held != null && store.era() > held.term().era()) {
+      endTermOfEra(held, store.era(), now);
+    }
+  }
+
+  private void endTermOfEra(Leadership.Lease held, long era, long now) {
+    log.onTermEnd("the store came back in era " + era + " after " + held.term().era());
+    leadership.onLeaseLost(now);
+    coordinator = null;
+    restoration = null;
+  }
+
   private void checkSuspension(long now) {
     if (suspensionDetector.wasSuspended(now, timeOfDay.getAsLong())) {
       Logger.warn("the process was suspended; no commands are sent until the lease is renewed");
@@ -211,7 +317,7 @@
     switch (action) {
       case Leadership.Action.Claim a -> store.claim().thenAccept(result -> onClaim(sentAt, result));
       case Leadership.Action.Renew a ->
-          store.renew(a.lease()).thenAccept(result -> onRenewal(sentAt, result));
+          store.renew(a.lease()).thenAccept(result -> onRenewal(a.lease(), sentAt, result));
       case Leadership.Action.End a -> {
         Logger.info("ending the lease as coordinator");
         store.end(a.lease());
@@ -236,13 +342,18 @@
     end.ifPresent(this::call);
   }
 
-  private void onRenewal(long sentAt, SharedStore.CallResult result) {
+  private void onRenewal(Leadership.Lease renewed, long sentAt, SharedStore.CallResult result) {
+    if (!renewed.equals(leadership.lease())) {
+      // The term has ended meanwhile, and the next claim may be in flight or have succeeded.
+      return;
+    }
     switch (result) {
       case DONE -> leadership.onRenewed(sentAt);
       case REFUSED -> {
         log.onTermEnd("the lease has ended in the store");
         leadership.onLeaseLost(now());
         coordinator = null;
+        restoration = null;
       }
       case UNKNOWN -> leadership.onRenewalUnknown();
       default -> throw new IllegalArgumentException("unknown result: " + result);
@@ -254,6 +365,11 @@
       return;
     }
     isReadingTable = true;
+    Leadership.Lease lease = leadership.lease();
+    if (lease != null && lease.term().era() > 0) {
+      readRecords(lease);
+      return;
+    }
     store
         .readTable()
         .thenAccept(
@@ -268,6 +384,108 @@
             });
   }
 
+  /** Reads what the store of an era has, to begin the term or the restoration. */
+  private void readRecords(Leadership.Lease lease) {
+    isReadingTable = true;
+    store
+        .readRecords()
+        .thenAccept(
+            read -> {
+              isReadingTable = false;
+              long now = now();
+              if (read.known() && leadership.leads(now) && lease.equals(leadership.lease())) {
+                onRecordsRead(read, lease, now);
+              }
+            });
+  }
+
+  private void onRecordsRead(SharedStore.RecordsResult read, Leadership.Lease lease, long now) {
+    areRecordsOutdated = false;
+    TableRestoration.Records own = records();
+    TableRestoration r = restoration;
+    boolean isFresh = read.records().isEmpty() && own.isEmpty();
+    if (read.tableEra() == lease.term().era() || (r == null && isFresh)) {
+      restoration = null;
+      beginTermOfEra(read.records().table(), read.tableRevision(), now);
+      return;
+    }
+    storedRecords = read;
+    if (r == null) {
+      Logger.warn(
+          "event=restoration_begin era={} own_table={} stored_table={}",
+          lease.term().era(),
+          own.table().version(),
+          read.records().table().version());
+      restoration = TableRestoration.begin(host, own, read.records(), now);
+    } else {
+      r.onStored(read.records());
+    }
+  }
+
+  /** Begins a term; if the store has come back lately, as one in which former grants are valid. */
+  private void beginTermOfEra(RangeTable table, long revision, long now) {
+    tableRevision = revision;
+    OptionalLong restoredAt = store.restoredAt();
+    coordinator =
+        restoredAt.isEmpty()
+            ? RangeCoordinator.begin(table, timing, log, now)
+            : RangeCoordinator.beginRestored(
+                table, ImmutableList.of(), restoredAt.getAsLong(), timing, log, now);
+    log.onTermStart(table, leadership.lease());
+  }
+
+  private void restore(TableRestoration r, long now) {
+    Leadership.Lease lease = leadership.lease();
+    if (lease == null || isReadingTable) {
+      return;
+    }
+    if (areRecordsOutdated) {
+      readRecords(lease);
+      return;
+    }
+    for (TableRestoration.Step step : r.tick(now)) {
+      switch (step) {
+        case TableRestoration.Step.Ask ask -> onAsk.accept(ask.host());
+        case TableRestoration.Step.Write write -> writeRestored(r, write, lease);
+      }
+    }
+  }
+
+  private void writeRestored(
+      TableRestoration r, TableRestoration.Step.Write write, Leadership.Lease lease) {
+    store
+        .writeRestored(write.records(), storedRecords, lease)
+        .thenAccept(
+            result -> {
+              if (restoration != r) {
+                return;
+              }
+              if (result.result() != SharedStore.CallResult.DONE) {
+                Logger.warn("writing the restored table ended with {}", result.result());
+                areRecordsOutdated = true;
+                return;
+              }
+              onRestored(r, write, result.revision());
+            });
+  }
+
+  private void onRestored(TableRestoration r, TableRestoration.Step.Write write, long revision) {
+    long now = now();
+    RangeTable table = write.records().table();
+    boolean isMovingKnown =
+        lastMovingVersion + MOVING_VERSIONS + TableRestoration.INCREMENT >= table.version();
+    final ImmutableList<FleetState.MovingRange> withheld =
+        isMovingKnown ? lastMoving : ImmutableList.of();
+    restoration = null;
+    restorations++;
+    movesFrom = now + timing.formerGrantsNanos();
+    tableRevision = revision;
+    lastWritten = table;
+    coordinator = RangeCoordinator.beginRestored(table, withheld, now, timing, log, now);
+    log.onRestored(write, withheld.size(), now - r.beganAt(), timing.formerGrantsNanos());
+    log.onTermStart(table, leadership.lease());
+  }
+
   private RangeInputs inputs(long now) {
     StoreView v = view.get();
     RoutingConfiguration configuration = v.configuration();
@@ -314,6 +532,7 @@
   private boolean maySendCommand(RangeCoordinator c) {
     long now = now();
     checkSuspension(now);
+    endTermOfFormerEra(now);
     return coordinator == c && leadership.leads(now);
   }
 
@@ -344,6 +563,7 @@
               switch (result.result()) {
                 case DONE -> {
                   tableRevision = result.revision();
+                  lastWritten = table;
                   c.onWritten(table);
                 }
                 case REFUSED -> endTerm(c, "another table is in the store");
@@ -378,6 +598,7 @@
     } else if (isSame(found.table(), table)) {
       log.onLookUp(table, "written", tookNanos);
       tableRevision = found.revision();
+      lastWritten = table;
       c.onWritten(table);
     } else if (found.revision() == tableRevision) {
       log.onLookUp(table, "not_written", tookNanos);
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
@@ -105,6 +105,7 @@
     this.budget = LinkBudget.create(linkBytesPerSecond, System.nanoTime());
     this.links = MemberLinks.withEventLoops(group, hello, this::linkAddress, this);
     coordination.onReleaseStarted(this::onReleaseStarted);
+    coordination.onAsk(this::askForRecords);
   }
 
   /** Starts to accept links from other hosts. */
@@ -215,6 +216,7 @@
       switch (frame.getContentCase()) {
         case HOST_REPORT -> onReport(from, FleetCodec.decodeReport(frame.getHostReport()));
         case FLEET_STATE -> onState(from, FleetCodec.decodeState(frame.getFleetState()));
+        case FORMER_ITEMS -> onFormerItems(from, frame.getFormerItems());
         case STORE_NEWS -> store.onRelayedUpdates(frame.getStoreNews());
         default -> Logger.debug("host {} sent a frame of a type that is not handled here", from);
       }
@@ -228,10 +230,25 @@
     if (c != null && c.host().equals(from)) {
       leavingReports.onState(state);
     }
+    coordination.onFleetState(state);
     onFleetState.accept(state);
   }
 
+  private void askForRecords(String to) {
+    links.send(to, Envelope.newBuilder().setFormerItems(store.recordsRequest()).build());
+  }
+
+  private void onFormerItems(String from, StoreNews message) {
+    if (store.isRecordsRequest(message)) {
+      StoreNews records = store.encodeRecords(coordination.records());
+      links.send(from, Envelope.newBuilder().setFormerItems(records).build());
+    } else {
+      coordination.onRecords(from, store.decodeRecords(message));
+    }
+  }
+
   private void onReport(String from, HostReport hostReport) {
+    coordination.onReport(from, hostReport.store());
     long now = System.nanoTime();
     aggregator.onReport(from, hostReport, now).forEach(target -> onLeaving.accept(target, from));
     if (!from.equals(host)) {
@@ -245,6 +262,16 @@
   private void updateMembers() {
     long now = System.nanoTime();
     StoreView v = view.get();
+    Leadership.Lease lease = coordination.lease();
+    boolean areMembersOfFormerEra =
+        lease != null
+            && v.membersPlace().revision() > 0
+            && v.membersPlace().era() < lease.term().era();
+    if (coordination.isRestoring() || areMembersOfFormerEra) {
+      // The store's members may be older than those that this host knows.
+      membership = null;
+      return;
+    }
     Membership m = membership;
     if (m == null) {
       membersPlace = v.membersPlace();
@@ -269,7 +296,6 @@
           m.candidates(now),
           m.missingApprovals(now));
     }
-    Leadership.Lease lease = coordination.lease();
     if (lease == null || isWritingMembers || next.isEmpty()) {
       return;
     }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/OwnershipLog.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/OwnershipLog.java
@@ -13,6 +13,7 @@
 import org.cowslipmoor.core.range.RangeEntry;
 import org.cowslipmoor.core.range.RangeListener;
 import org.cowslipmoor.core.range.RangeTable;
+import org.cowslipmoor.core.range.TableRestoration;
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
 
@@ -85,6 +86,29 @@
         term.era() == 0 ? "" : " era=" + term.era());
   }
 
+  /**
+   * Logs that the table and the members of a former era were restored.
+   *
+   * @param withheld number of ranges that were being transferred and get no owner for now
+   * @param tookNanos time since the restoration began
+   * @param heldNanos time for which keys get no other owner without a release
+   */
+  void onRestored(TableRestoration.Step.Write write, int withheld, long tookNanos, long heldNanos) {
+    RangeTable table = write.records().table();
+    line(
+        "event=restored table=%d ranges=%d last_fence=%d members=%d from=%s heard=%d withheld=%d"
+            + " took_ms=%d held_ms=%d",
+        table.version(),
+        table.entries().size(),
+        table.lastFence(),
+        write.records().members().members().size(),
+        String.join(",", write.sources()),
+        write.heard(),
+        withheld,
+        millis(tookNanos),
+        millis(heldNanos));
+  }
+
   void onTermEnd(String reason) {
     line("event=tenure_end reason=\"%s\"", reason);
   }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/SharedStore.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/SharedStore.java
@@ -1,11 +1,13 @@
 package org.cowslipmoor.daemon.coordination;
 
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.cowslipmoor.core.fleet.MemberList;
 import org.cowslipmoor.core.fleet.StorePlace;
 import org.cowslipmoor.core.range.Leadership;
 import org.cowslipmoor.core.range.RangeTable;
+import org.cowslipmoor.core.range.TableRestoration;
 import org.cowslipmoor.schema.fleet.StoreNews;
 import org.jspecify.annotations.Nullable;
 
@@ -82,6 +84,40 @@
   /** Reads the range table and its revision. */
   CompletableFuture<TableResult> readTable();
 
+  /**
+   * Returns when this host learnt that the store has come back older, in nanoseconds; empty if it
+   * has read no former era.
+   */
+  default OptionalLong restoredAt() {
+    return OptionalLong.empty();
+  }
+
+  /** Reads the range table and the members, and the eras in which they were written. */
+  CompletableFuture<RecordsResult> readRecords();
+
+  /**
+   * Writes the restored range table and members together, if the lease's claim is still valid and
+   * the store has both at the revisions that were read.
+   */
+  CompletableFuture<WriteResult> writeRestored(
+      TableRestoration.Records records, RecordsResult read, Leadership.Lease lease);
+
+  /** Returns the message that asks a host for its records. */
+  StoreNews recordsRequest();
+
+  /** Returns whether a message asks for records. */
+  boolean isRecordsRequest(StoreNews message);
+
+  /** Returns the message that tells a coordinator this host's records. */
+  StoreNews encodeRecords(TableRestoration.Records records);
+
+  /**
+   * Reads a message with a host's records.
+   *
+   * @throws IllegalArgumentException if it is malformed
+   */
+  TableRestoration.Records decodeRecords(StoreNews message);
+
   /** The outcome of a call. */
   enum CallResult {
     /** The call succeeded. */
@@ -116,4 +152,24 @@
    * @param revision its revision; 0 when the store has none
    */
   record TableResult(boolean known, RangeTable table, long revision) {}
+
+  /**
+   * The outcome of a read of the records that are restored.
+   *
+   * @param known whether the store responded
+   * @param records the records
+   * @param tableRevision the table's revision; 0 when there is none
+   * @param tableEra the era in which the table was written
+   * @param membersRevision the members' revision; 0 when there are none
+   */
+  record RecordsResult(
+      boolean known,
+      TableRestoration.Records records,
+      long tableRevision,
+      long tableEra,
+      long membersRevision) {
+    /** The outcome of a read without a response. */
+    public static final RecordsResult UNKNOWN =
+        new RecordsResult(false, TableRestoration.Records.NONE, 0, 0, 0);
+  }
 }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -119,6 +119,7 @@
             metrics);
     coordination =
         new Coordination(
+            settings.host(),
             store,
             commands,
             Leadership.create(settings.leaseMillis(), random),
@@ -145,6 +146,9 @@
         target -> gateway.onLeaving(ImmutableSet.of(target), "command", System.nanoTime()));
     metrics.registerGauge(
         GatewayMetric.COORDINATOR.name(), () -> coordination.isCoordinator() ? 1 : 0);
+    metrics.registerGauge(GatewayMetric.STORE_ERA.name(), store::era);
+    metrics.registerGauge(GatewayMetric.RESTORATIONS.name(), coordination::restorations);
+    metrics.registerGauge(GatewayMetric.KEYS_HELD_SECONDS.name(), coordination::heldSeconds);
     metricsPage = new MetricsPage(metrics);
     server = server(group);
     loop.execute(() -> store.watch(this::onView));
@@ -295,7 +299,7 @@
   }
 
   private HostReport createReport() {
-    RangeTable table = gateway.view().table();
+    RangeTable table = coordination.records().table();
     return new HostReport(
         keyCounts.drain(),
         loadBalancer.drainSamples(),
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayMetric.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayMetric.java
@@ -30,7 +30,13 @@
   SETTINGS_CONTENT("cowslipmoor_settings_content", "Hash of the settings file in force."),
   SETTINGS_PENDING("cowslipmoor_settings_pending", "Changed settings that wait for a restart."),
   TARGETS("cowslipmoor_targets", "Targets that are known."),
-  COORDINATOR("cowslipmoor_coordinator", "Whether this host coordinates: 1 or 0.");
+  COORDINATOR("cowslipmoor_coordinator", "Whether this host coordinates: 1 or 0."),
+  STORE_ERA("cowslipmoor_store_era", "Era of the store; 0 if it names none."),
+  RESTORATIONS(
+      "cowslipmoor_restorations_total", "Tables that this host restored for a store come back."),
+  KEYS_HELD_SECONDS(
+      "cowslipmoor_keys_held_seconds",
+      "Time for which keys still can't move after a restoration by this host.");
 
   private final String exposedName;
   private final String help;
--- a/daemon/src/test/java/org/cowslipmoor/daemon/coordination/CoordinationTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/coordination/CoordinationTest.java
@@ -12,6 +12,7 @@
 import org.cowslipmoor.core.discovery.TargetDirectory;
 import org.cowslipmoor.core.discovery.TargetIncarnation;
 import org.cowslipmoor.core.fleet.CoordinationLoad;
+import org.cowslipmoor.core.fleet.HostReport;
 import org.cowslipmoor.core.fleet.MemberList;
 import org.cowslipmoor.core.fleet.StorePlace;
 import org.cowslipmoor.core.range.KeyRange;
@@ -20,11 +21,16 @@
 import org.cowslipmoor.core.range.RangeTable;
 import org.cowslipmoor.core.range.RangeTiming;
 import org.cowslipmoor.core.range.ServiceLoad;
+import org.cowslipmoor.core.range.TableRestoration;
 import org.junit.jupiter.api.Test;
 
 final class CoordinationTest {
   private static final long NANOS_PER_MILLI = 1_000_000L;
   private static final long TICK_NANOS = 20 * NANOS_PER_MILLI;
+
+  /** Time for which reports are awaited, and the next tick. */
+  private static final long TABLE_COLLECTION_NANOS = 2_200_000_000L;
+
   private static final long LEASE_MILLIS = 1_500;
   private static final long COMMAND_MILLIS = 600;
   private static final Leadership.Lease LEASE = ScriptedStore.LEASE;
@@ -42,6 +48,7 @@
   private final ScriptedStore store = new ScriptedStore();
   private final Coordination coordination =
       new Coordination(
+          "h",
           store,
           new UnresponsiveTargets(),
           Leadership.create(LEASE_MILLIS, new SplittableRandom(1)),
@@ -136,6 +143,69 @@
     assertThat(coordination.lease(), is(nullValue()));
   }
 
+  /** Guards against grants under a lease that the store lost by coming back from a copy. */
+  @Test
+  void coordinatorStopsAtOnceWhenTheStoreHasComeBack() {
+    runUntilRead();
+    store.reads.remove().complete(new SharedStore.TableResult(true, TABLE, 9));
+    assertThat(coordination.isCoordinator(), is(true));
+
+    store.era = 1;
+    run(TICK_NANOS);
+
+    assertThat(coordination.isCoordinator(), is(false));
+    assertThat(coordination.lease(), is(nullValue()));
+  }
+
+  /** A coordinator that the store does not serve learns of the new era from the hosts. */
+  @Test
+  void coordinatorStopsAtOnceWhenHostReportsNewEra() {
+    runUntilRead();
+    store.reads.remove().complete(new SharedStore.TableResult(true, TABLE, 9));
+
+    coordination.onReport(
+        "other", new HostReport.StoreKnowledge(new StorePlace(1, 3), TABLE.version(), 0));
+
+    assertThat(coordination.isCoordinator(), is(false));
+  }
+
+  /** Guards against grants by the table of an older copy. */
+  @Test
+  void firstCoordinatorOfNewEraRestoresTheTableOfItsReporters() {
+    beginEra();
+    coordination.onReport(
+        "other", new HostReport.StoreKnowledge(new StorePlace(1, 3), TABLE.version(), 70));
+    run(TABLE_COLLECTION_NANOS);
+
+    assertThat(coordination.isRestoring(), is(false));
+    assertThat(coordination.isCoordinator(), is(true));
+    assertThat(store.restored.get(0).table().lastFence(), is(70 + TableRestoration.INCREMENT));
+    assertThat(store.writes, is(1));
+  }
+
+  @Test
+  void coordinatorThatLosesItsStoreWhileRestoringBeginsAgain() {
+    beginEra();
+    store.era = 2;
+    run(TICK_NANOS);
+    assertThat(coordination.isCoordinator(), is(false));
+    assertThat(store.restored, is(empty()));
+  }
+
+  private void beginEra() {
+    store.era = 1;
+    store.claim =
+        CompletableFuture.completedFuture(
+            new SharedStore.ClaimResult(
+                SharedStore.CallResult.DONE, new Leadership.Lease(3, new StorePlace(1, 5))));
+    store.records =
+        new SharedStore.RecordsResult(
+            true, new TableRestoration.Records(TABLE, MemberList.empty()), 4, 0, 0);
+    run(LEASE_MILLIS * NANOS_PER_MILLI);
+    assertThat(coordination.isRestoring(), is(true));
+    assertThat(store.writes, is(0));
+  }
+
   /** Runs until the table was written without a response and is being looked up. */
   private void loseWriteResponse() {
     runUntilRead();
--- a/daemon/src/test/java/org/cowslipmoor/daemon/coordination/ScriptedStore.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/coordination/ScriptedStore.java
@@ -12,6 +12,7 @@
 import org.cowslipmoor.core.fleet.StorePlace;
 import org.cowslipmoor.core.range.Leadership;
 import org.cowslipmoor.core.range.RangeTable;
+import org.cowslipmoor.core.range.TableRestoration;
 import org.cowslipmoor.schema.fleet.StoreNews;
 
 /** A store whose reads the test completes, and whose writes get no response. */
@@ -28,6 +29,13 @@
   CallResult renewal = CallResult.DONE;
   RangeTable written = RangeTable.empty();
   int writes;
+  long era;
+
+  /** What the store has in a new era. */
+  RecordsResult records = RecordsResult.UNKNOWN;
+
+  /** The records that were restored. */
+  final List<TableRestoration.Records> restored = new ArrayList<>();
 
   /** The members as hosts that objected to their removal wrote them. */
   final List<MemberList> objections = new ArrayList<>();
@@ -53,7 +61,7 @@
 
   @Override
   public long era() {
-    return 0;
+    return era;
   }
 
   @Override
@@ -123,4 +131,41 @@
     reads.add(read);
     return read;
   }
+
+  @Override
+  public CompletableFuture<RecordsResult> readRecords() {
+    return CompletableFuture.completedFuture(records);
+  }
+
+  @Override
+  public CompletableFuture<WriteResult> writeRestored(
+      TableRestoration.Records newRecords, RecordsResult read, Leadership.Lease lease) {
+    restored.add(newRecords);
+    return CompletableFuture.completedFuture(new WriteResult(CallResult.DONE, 12));
+  }
+
+  @Override
+  public StoreNews recordsRequest() {
+    return StoreNews.getDefaultInstance();
+  }
+
+  @Override
+  public boolean isRecordsRequest(StoreNews message) {
+    return message.getAsOf() == 0;
+  }
+
+  @Override
+  public StoreNews encodeRecords(TableRestoration.Records own) {
+    RangeTable table = own.table();
+    return StoreNews.newBuilder()
+        .setAsOf(Math.max(1, table.version()))
+        .setSince(table.lastFence())
+        .build();
+  }
+
+  @Override
+  public TableRestoration.Records decodeRecords(StoreNews message) {
+    return new TableRestoration.Records(
+        RangeTable.of(message.getAsOf(), message.getSince(), List.of()), MemberList.empty());
+  }
 }
--- a/daemon/src/test/java/org/cowslipmoor/daemon/coordination/SuccessorTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/coordination/SuccessorTest.java
@@ -30,6 +30,7 @@
 import org.cowslipmoor.core.range.RangeTable;
 import org.cowslipmoor.core.range.RangeTiming;
 import org.cowslipmoor.core.range.ServiceLoad;
+import org.cowslipmoor.core.range.TableRestoration;
 import org.cowslipmoor.schema.fleet.StoreNews;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
@@ -71,6 +72,7 @@
     final Set<TargetIncarnation> listed = ConcurrentHashMap.newKeySet();
 
     private MemberList members = MemberList.empty();
+    private RangeTable table = RangeTable.empty();
     private StoreView view = view(null);
 
     Host(String id) throws Exception {
@@ -84,6 +86,7 @@
       }
       coordination =
           new Coordination(
+              id,
               store,
               new UnresponsiveTargets(),
               Leadership.create(LEASE_MILLIS, new SplittableRandom(1)),
@@ -110,7 +113,7 @@
       return new HostReport(
           ImmutableMap.of(),
           ImmutableMap.of(),
-          HostReport.StoreKnowledge.NONE,
+          new HostReport.StoreKnowledge(new StorePlace(0, 1), table.version(), table.lastFence()),
           ImmutableSet.of(),
           ImmutableSet.copyOf(leaving),
           System.nanoTime());
@@ -120,7 +123,7 @@
       return new StoreView(
           null,
           TargetDirectory.of(List.of(LEAVING, OTHER_LEAVING)),
-          RangeTable.empty(),
+          table,
           0,
           members,
           new StorePlace(0, 1),
@@ -214,6 +217,36 @@
     assertThat(passedOn.getSince(), is(ScriptedStore.COORDINATOR_UPDATE));
   }
 
+  /** Guards against grants by the table of an older copy while a host knows a newer one. */
+  @Test
+  void firstCoordinatorOfNewEraAsksTheHostThatKnowsTheNewestTable() throws Exception {
+    final Host reporter = new Host("reporter");
+    reporter.table = RangeTable.of(9, 90, List.of());
+    Host coordinator = new Host("new");
+    coordinator.members = MemberList.of(ImmutableSet.of("new", "reporter"));
+    coordinator.store.era = 1;
+    coordinator.store.claim =
+        CompletableFuture.completedFuture(
+            new SharedStore.ClaimResult(
+                SharedStore.CallResult.DONE, new Leadership.Lease(3, new StorePlace(1, NEW_TERM))));
+    coordinator.store.records =
+        new SharedStore.RecordsResult(true, TableRestoration.Records.NONE, 0, 0, 0);
+    coordinator.learn(null);
+    reporter.learn(coordinator.asCoordinator(NEW_TERM));
+    long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
+
+    while (coordinator.store.restored.isEmpty() && System.nanoTime() - until < 0) {
+      run(reporter.fleet::tick);
+      run(coordinator.coordination::tick);
+      TimeUnit.MILLISECONDS.sleep(20);
+    }
+
+    assertThat(coordinator.store.restored.isEmpty(), is(false));
+    RangeTable restored = coordinator.store.restored.get(0).table();
+    assertThat(restored.version(), is(9 + TableRestoration.INCREMENT));
+    assertThat(restored.lastFence(), is(90 + TableRestoration.INCREMENT));
+  }
+
   /** The successor may have been cut off from its predecessor, or may have just started. */
   @Test
   void successorLearnsOfLeavingTargetsThatItsPredecessorHasListed() throws Exception {
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/FixedStore.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/FixedStore.java
@@ -6,6 +6,7 @@
 import org.cowslipmoor.core.fleet.StorePlace;
 import org.cowslipmoor.core.range.Leadership;
 import org.cowslipmoor.core.range.RangeTable;
+import org.cowslipmoor.core.range.TableRestoration;
 import org.cowslipmoor.daemon.coordination.SharedStore;
 import org.cowslipmoor.daemon.coordination.StoreView;
 import org.cowslipmoor.schema.fleet.StoreNews;
@@ -99,4 +100,35 @@
   public CompletableFuture<TableResult> readTable() {
     return CompletableFuture.completedFuture(new TableResult(false, RangeTable.empty(), 0));
   }
+
+  @Override
+  public CompletableFuture<RecordsResult> readRecords() {
+    return CompletableFuture.completedFuture(RecordsResult.UNKNOWN);
+  }
+
+  @Override
+  public CompletableFuture<WriteResult> writeRestored(
+      TableRestoration.Records records, RecordsResult read, Leadership.Lease lease) {
+    return CompletableFuture.completedFuture(new WriteResult(CallResult.UNKNOWN, 0));
+  }
+
+  @Override
+  public StoreNews recordsRequest() {
+    return StoreNews.getDefaultInstance();
+  }
+
+  @Override
+  public boolean isRecordsRequest(StoreNews message) {
+    return message.getAsOf() == 0;
+  }
+
+  @Override
+  public StoreNews encodeRecords(TableRestoration.Records records) {
+    return StoreNews.newBuilder().setAsOf(1).build();
+  }
+
+  @Override
+  public TableRestoration.Records decodeRecords(StoreNews message) {
+    return TableRestoration.Records.NONE;
+  }
 }
