--- a/core/src/main/java/org/cowslipmoor/core/coldstart/AllowanceLedger.java
+++ b/core/src/main/java/org/cowslipmoor/core/coldstart/AllowanceLedger.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import org.cowslipmoor.core.fleet.StorePlace;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -17,7 +18,7 @@
  */
 public final class AllowanceLedger {
   private final Map<String, Deque<Entry>> entriesByTarget = new HashMap<>();
-  private @Nullable Long term;
+  private @Nullable StorePlace term;
   private long usableFrom;
 
   private record Entry(long at, int requests) {}
@@ -33,8 +34,8 @@
    * Records the term in which this host is the coordinator; must be called before each decision. A
    * term that ends and continues, as when a lease is renewed late, is no new one.
    */
-  public void onTerm(long currentTerm, long now) {
-    if (term == null || term != currentTerm) {
+  public void onTerm(StorePlace currentTerm, long now) {
+    if (!currentTerm.equals(term)) {
       term = currentTerm;
       usableFrom = now + ColdLimit.WINDOW_NANOS;
     }
--- a/core/src/test/java/org/cowslipmoor/core/fleet/FailingTargetsSimulation.java
+++ b/core/src/test/java/org/cowslipmoor/core/fleet/FailingTargetsSimulation.java
@@ -195,7 +195,7 @@
           new HostReport(
               ImmutableMap.of(),
               hosts.get(h).drainSamples(),
-              0,
+              HostReport.StoreKnowledge.NONE,
               ImmutableSet.of(),
               ImmutableSet.of(),
               now,
--- a/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/coordination/FleetExchange.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -28,6 +27,7 @@
 import org.cowslipmoor.core.fleet.MemberList;
 import org.cowslipmoor.core.fleet.Membership;
 import org.cowslipmoor.core.fleet.PredecessorNotifier;
+import org.cowslipmoor.core.fleet.StorePlace;
 import org.cowslipmoor.core.fleet.StoreUpdateRelay;
 import org.cowslipmoor.core.range.Leadership;
 import org.cowslipmoor.core.range.ServiceLoad;
@@ -72,9 +72,9 @@
   private @Nullable Membership membership;
   private boolean isWritingMembers;
   private long joinLoggedAt = System.nanoTime() - MIN_JOIN_LOG_INTERVAL_NANOS;
-  private long membersRevision;
+  private StorePlace membersPlace = StorePlace.START;
   private boolean relayEnded;
-  private long relayedRevision;
+  private StorePlace relayedPlace = StorePlace.START;
   private long relayedConfirmedAt;
   private boolean isMovingAnnouncementDue;
   private long movingAnnouncedAt = System.nanoTime();
@@ -112,6 +112,7 @@
     this.budget = LinkBudget.create(linkBytesPerSecond, System.nanoTime());
     this.links = MemberLinks.withEventLoops(group, hello, this::linkAddress, this);
     coordination.onReleaseStarted(this::onReleaseStarted);
+    coordination.onAsk(this::askForRecords);
   }
 
   /** Starts to accept links from other hosts. */
@@ -163,7 +164,7 @@
   }
 
   private boolean updateAllowanceTerm(long now) {
-    OptionalLong term = coordination.allowanceTerm();
+    Optional<StorePlace> term = coordination.allowanceTerm();
     term.ifPresent(t -> allowanceLedger.onTerm(t, now));
     return term.isPresent();
   }
@@ -250,11 +251,11 @@
     if (isMovingAnnouncementDue && now - movingAnnouncedAt >= MIN_MOVING_INTERVAL_NANOS) {
       announceMoving(now);
     }
-    long revision = store.revision();
-    if (revision != relayedRevision || store.confirmedAt() != relayedConfirmedAt) {
-      relayedRevision = revision;
+    StorePlace place = store.place();
+    if (!place.equals(relayedPlace) || store.confirmedAt() != relayedConfirmedAt) {
+      relayedPlace = place;
       relayedConfirmedAt = store.confirmedAt();
-      relayUpdates(revision, now);
+      relayUpdates(place, now);
     }
   }
 
@@ -283,6 +284,7 @@
         }
         case COLD_ALLOWANCE ->
             allowanceHandler.onAllowance(FleetCodec.decodeAllowance(frame.getColdAllowance()));
+        case FORMER_ITEMS -> onFormerItems(from, frame.getFormerItems());
         case STORE_NEWS -> store.onRelayedUpdates(frame.getStoreNews());
         default -> Logger.debug("host {} sent a frame of a type that is not handled here", from);
       }
@@ -296,14 +298,29 @@
     if (c != null && c.host().equals(from)) {
       leavingReports.onState(state);
     }
+    coordination.onFleetState(state);
     onFleetState.accept(state);
   }
 
+  private void askForRecords(String to) {
+    links.send(to, Envelope.newBuilder().setFormerItems(store.recordsRequest()).build());
+  }
+
+  private void onFormerItems(String from, StoreNews message) {
+    if (store.isRecordsRequest(message)) {
+      StoreNews records = store.encodeRecords(coordination.records());
+      links.send(from, Envelope.newBuilder().setFormerItems(records).build());
+    } else {
+      coordination.onRecords(from, store.decodeRecords(message));
+    }
+  }
+
   private void onReport(String from, HostReport hostReport) {
+    coordination.onReport(from, hostReport.store());
     long now = System.nanoTime();
     aggregator.onReport(from, hostReport, now).forEach(target -> onLeaving.accept(target, from));
     if (!from.equals(host)) {
-      relay.onReport(from, hostReport.storeRevision(), hostReport.sentAt());
+      relay.onReport(from, hostReport.store().place(), hostReport.sentAt());
     }
     if (membership != null) {
       membership.onReport(from, hostReport.approvals(), now);
@@ -313,15 +330,25 @@
   private void updateMembers() {
     long now = System.nanoTime();
     StoreView v = view.get();
+    Leadership.Lease lease = coordination.lease();
+    boolean areMembersOfFormerEra =
+        lease != null
+            && v.membersPlace().revision() > 0
+            && v.membersPlace().era() < lease.term().era();
+    if (coordination.isRestoring() || areMembersOfFormerEra) {
+      // The store's members may be older than those that this host knows.
+      membership = null;
+      return;
+    }
     Membership m = membership;
     if (m == null) {
-      membersRevision = v.membersRevision();
+      membersPlace = v.membersPlace();
       membership = Membership.create(v.memberList(), host, now);
       return;
     }
     // A view from before this host's last write says nothing about it.
-    if (v.membersRevision() != membersRevision && v.revision() >= membersRevision) {
-      membersRevision = v.membersRevision();
+    if (!v.membersPlace().equals(membersPlace) && !membersPlace.isAfter(v.place())) {
+      membersPlace = v.membersPlace();
       m.onStored(v.memberList(), now);
     }
     if (!store.isCurrent(now)) {
@@ -337,19 +364,18 @@
           m.candidates(now),
           m.missingApprovals(now));
     }
-    Leadership.Lease lease = coordination.lease();
     if (lease == null || isWritingMembers || next.isEmpty()) {
       return;
     }
     isWritingMembers = true;
     store
-        .writeMembers(next.get(), membersRevision, lease)
+        .writeMembers(next.get(), membersPlace.revision(), lease)
         .thenAccept(
             result -> {
               isWritingMembers = false;
               if (result.result() == SharedStore.CallResult.DONE) {
                 logMembers(next.get());
-                membersRevision = result.revision();
+                membersPlace = new StorePlace(lease.term().era(), result.revision());
                 m.onStored(next.get(), System.nanoTime());
               } else {
                 Logger.warn(
@@ -375,7 +401,7 @@
     }
     isWritingMembers = true;
     store
-        .objectToRemoval(v.memberList().trusting(host), v.membersRevision())
+        .objectToRemoval(v.memberList().trusting(host), v.membersPlace())
         .thenAccept(
             result -> {
               isWritingMembers = false;
@@ -421,11 +447,11 @@
   }
 
   /** Sends each host the store updates that it lacks, or the confirmation that there are none. */
-  private void relayUpdates(long revision, long now) {
+  private void relayUpdates(StorePlace place, long now) {
     relay.retain(aggregator.hosts(now).keySet());
     long ageMicros = TimeUnit.NANOSECONDS.toMicros(now - store.confirmedAt());
-    Map<Long, StoreNews> updatesBySince = new HashMap<>();
-    for (StoreUpdateRelay.Frame f : relay.due(revision, store.trackedSince(), now)) {
+    Map<StorePlace, StoreNews> updatesBySince = new HashMap<>();
+    for (StoreUpdateRelay.Frame f : relay.due(place, store.trackedSince(), now)) {
       if (!budget.hasCapacity(links.unsentBytes())) {
         Logger.debug("the link is at capacity; hosts that lack updates poll the store");
         return;
@@ -435,7 +461,7 @@
           updates.toBuilder().setEchoedAt(f.echoedAt()).setAgeMicros(ageMicros).build();
       Envelope frame = Envelope.newBuilder().setStoreNews(message).build();
       links.send(f.host(), frame);
-      relay.onSent(f, revision, now);
+      relay.onSent(f, place, now);
       log.onUpdate(frame.getSerializedSize());
     }
   }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayHost.java
@@ -24,6 +24,7 @@
 import org.cowslipmoor.core.fleet.HostReport;
 import org.cowslipmoor.core.range.KeyCounts;
 import org.cowslipmoor.core.range.Leadership;
+import org.cowslipmoor.core.range.RangeTable;
 import org.cowslipmoor.core.range.RangeTiming;
 import org.cowslipmoor.core.range.ServiceLoad;
 import org.cowslipmoor.core.request.SharedRetryBudget;
@@ -126,6 +127,7 @@
     gateway.onTargetLimits(settings.targetLimits(), System.nanoTime());
     coordination =
         new Coordination(
+            settings.host(),
             store,
             commands,
             Leadership.create(settings.leaseMillis(), random),
@@ -155,6 +157,9 @@
         target -> gateway.onLeaving(ImmutableSet.of(target), "command", System.nanoTime()));
     metrics.registerGauge(
         GatewayMetric.COORDINATOR.name(), () -> coordination.isCoordinator() ? 1 : 0);
+    metrics.registerGauge(GatewayMetric.STORE_ERA.name(), store::era);
+    metrics.registerGauge(GatewayMetric.RESTORATIONS.name(), coordination::restorations);
+    metrics.registerGauge(GatewayMetric.KEYS_HELD_SECONDS.name(), coordination::heldSeconds);
     metricsPage = new MetricsPage(metrics);
     server = server(group);
     loop.execute(() -> store.watch(this::onView));
@@ -306,10 +311,11 @@
   }
 
   private HostReport createReport() {
+    RangeTable table = coordination.records().table();
     return new HostReport(
         keyCounts.drain(),
         loadBalancer.drainSamples(),
-        store.revision(),
+        new HostReport.StoreKnowledge(store.place(), table.version(), table.lastFence()),
         gateway.candidates(),
         gateway.leavingTargets(),
         System.nanoTime(),
--- a/daemon/src/test/java/org/cowslipmoor/daemon/coordination/ScriptedStore.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/coordination/ScriptedStore.java
@@ -9,13 +9,15 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.function.Consumer;
 import org.cowslipmoor.core.fleet.MemberList;
+import org.cowslipmoor.core.fleet.StorePlace;
 import org.cowslipmoor.core.range.Leadership;
 import org.cowslipmoor.core.range.RangeTable;
+import org.cowslipmoor.core.range.TableRestoration;
 import org.cowslipmoor.schema.fleet.StoreNews;
 
 /** A store whose reads the test completes, and whose writes get no response. */
 final class ScriptedStore implements SharedStore {
-  static final Leadership.Lease LEASE = new Leadership.Lease(1, 2);
+  static final Leadership.Lease LEASE = new Leadership.Lease(1, new StorePlace(0, 2));
 
   /** Marks the update that names the coordinator. */
   static final long COORDINATOR_UPDATE = 77;
@@ -27,6 +29,13 @@
   CallResult renewal = CallResult.DONE;
   RangeTable written = RangeTable.empty();
   int writes;
+  long era;
+
+  /** What the store has in a new era. */
+  RecordsResult records = RecordsResult.UNKNOWN;
+
+  /** The records that were restored. */
+  final List<TableRestoration.Records> restored = new ArrayList<>();
 
   /** The members as hosts that objected to their removal wrote them. */
   final List<MemberList> objections = new ArrayList<>();
@@ -51,17 +60,22 @@
   }
 
   @Override
-  public long revision() {
-    return 1;
+  public long era() {
+    return era;
   }
 
   @Override
-  public long trackedSince() {
-    return 0;
+  public StorePlace place() {
+    return new StorePlace(0, 1);
   }
 
   @Override
-  public StoreNews updatesSince(long revision) {
+  public StorePlace trackedSince() {
+    return StorePlace.START;
+  }
+
+  @Override
+  public StoreNews updatesSince(StorePlace place) {
     return StoreNews.getDefaultInstance();
   }
 
@@ -106,7 +120,7 @@
   }
 
   @Override
-  public CompletableFuture<WriteResult> objectToRemoval(MemberList list, long revision) {
+  public CompletableFuture<WriteResult> objectToRemoval(MemberList list, StorePlace place) {
     objections.add(list);
     return CompletableFuture.completedFuture(new WriteResult(CallResult.UNKNOWN, 0));
   }
@@ -117,4 +131,41 @@
     reads.add(read);
     return read;
   }
+
+  @Override
+  public CompletableFuture<RecordsResult> readRecords() {
+    return CompletableFuture.completedFuture(records);
+  }
+
+  @Override
+  public CompletableFuture<WriteResult> writeRestored(
+      TableRestoration.Records newRecords, RecordsResult read, Leadership.Lease lease) {
+    restored.add(newRecords);
+    return CompletableFuture.completedFuture(new WriteResult(CallResult.DONE, 12));
+  }
+
+  @Override
+  public StoreNews recordsRequest() {
+    return StoreNews.getDefaultInstance();
+  }
+
+  @Override
+  public boolean isRecordsRequest(StoreNews message) {
+    return message.getAsOf() == 0;
+  }
+
+  @Override
+  public StoreNews encodeRecords(TableRestoration.Records own) {
+    RangeTable table = own.table();
+    return StoreNews.newBuilder()
+        .setAsOf(Math.max(1, table.version()))
+        .setSince(table.lastFence())
+        .build();
+  }
+
+  @Override
+  public TableRestoration.Records decodeRecords(StoreNews message) {
+    return new TableRestoration.Records(
+        RangeTable.of(message.getAsOf(), message.getSince(), List.of()), MemberList.empty());
+  }
 }
--- a/daemon/src/test/java/org/cowslipmoor/daemon/coordination/SuccessorTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/coordination/SuccessorTest.java
@@ -25,10 +25,12 @@
 import org.cowslipmoor.core.fleet.CoordinationLoad;
 import org.cowslipmoor.core.fleet.HostReport;
 import org.cowslipmoor.core.fleet.MemberList;
+import org.cowslipmoor.core.fleet.StorePlace;
 import org.cowslipmoor.core.range.Leadership;
 import org.cowslipmoor.core.range.RangeTable;
 import org.cowslipmoor.core.range.RangeTiming;
 import org.cowslipmoor.core.range.ServiceLoad;
+import org.cowslipmoor.core.range.TableRestoration;
 import org.cowslipmoor.schema.fleet.StoreNews;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
@@ -70,6 +72,7 @@
     final Set<TargetIncarnation> listed = ConcurrentHashMap.newKeySet();
 
     private MemberList members = MemberList.empty();
+    private RangeTable table = RangeTable.empty();
     private StoreView view = view(null);
 
     Host(String id) throws Exception {
@@ -83,6 +86,7 @@
       }
       coordination =
           new Coordination(
+              id,
               store,
               new UnresponsiveTargets(),
               Leadership.create(LEASE_MILLIS, new SplittableRandom(1)),
@@ -109,7 +113,7 @@
       return new HostReport(
           ImmutableMap.of(),
           ImmutableMap.of(),
-          1,
+          new HostReport.StoreKnowledge(new StorePlace(0, 1), table.version(), table.lastFence()),
           ImmutableSet.of(),
           ImmutableSet.copyOf(leaving),
           System.nanoTime());
@@ -119,17 +123,17 @@
       return new StoreView(
           null,
           TargetDirectory.of(List.of(LEAVING, OTHER_LEAVING)),
-          RangeTable.empty(),
+          table,
           0,
           members,
-          1,
+          new StorePlace(0, 1),
           coordinator,
           true,
-          1);
+          new StorePlace(0, 1));
     }
 
     StoreView.Coordinator asCoordinator(long term) {
-      return new StoreView.Coordinator(id, address, term);
+      return new StoreView.Coordinator(id, address, term(term));
     }
 
     /** Applies the store's state, in which the given host is the coordinator. */
@@ -145,7 +149,7 @@
       store.claim =
           CompletableFuture.completedFuture(
               new SharedStore.ClaimResult(
-                  SharedStore.CallResult.DONE, new Leadership.Lease(term, term)));
+                  SharedStore.CallResult.DONE, new Leadership.Lease(term, term(term))));
       learn(null);
       long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
       while (!coordination.isCoordinator() && System.nanoTime() - until < 0) {
@@ -176,6 +180,10 @@
     }
   }
 
+  private static StorePlace term(long revision) {
+    return new StorePlace(0, revision);
+  }
+
   private void run(Runnable task) throws Exception {
     group.next().submit(task).get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
   }
@@ -189,9 +197,9 @@
     Host predecessor = new Host("old");
     Host successor = new Host("new");
     final Host reporter = new Host("reporter");
-    predecessor.becomeCoordinator(ScriptedStore.LEASE.term());
-    reporter.learn(predecessor.asCoordinator(ScriptedStore.LEASE.term()));
-    successor.learn(predecessor.asCoordinator(ScriptedStore.LEASE.term()));
+    predecessor.becomeCoordinator(ScriptedStore.LEASE.term().revision());
+    reporter.learn(predecessor.asCoordinator(ScriptedStore.LEASE.term().revision()));
+    successor.learn(predecessor.asCoordinator(ScriptedStore.LEASE.term().revision()));
     successor.becomeCoordinator(NEW_TERM);
     reporter.store.relayed.clear();
     predecessor.store.relayed.clear();
@@ -209,14 +217,44 @@
     assertThat(passedOn.getSince(), is(ScriptedStore.COORDINATOR_UPDATE));
   }
 
+  /** Guards against grants by the table of an older copy while a host knows a newer one. */
+  @Test
+  void firstCoordinatorOfNewEraAsksTheHostThatKnowsTheNewestTable() throws Exception {
+    final Host reporter = new Host("reporter");
+    reporter.table = RangeTable.of(9, 90, List.of());
+    Host coordinator = new Host("new");
+    coordinator.members = MemberList.of(ImmutableSet.of("new", "reporter"));
+    coordinator.store.era = 1;
+    coordinator.store.claim =
+        CompletableFuture.completedFuture(
+            new SharedStore.ClaimResult(
+                SharedStore.CallResult.DONE, new Leadership.Lease(3, new StorePlace(1, NEW_TERM))));
+    coordinator.store.records =
+        new SharedStore.RecordsResult(true, TableRestoration.Records.NONE, 0, 0, 0);
+    coordinator.learn(null);
+    reporter.learn(coordinator.asCoordinator(NEW_TERM));
+    long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS);
+
+    while (coordinator.store.restored.isEmpty() && System.nanoTime() - until < 0) {
+      run(reporter.fleet::tick);
+      run(coordinator.coordination::tick);
+      TimeUnit.MILLISECONDS.sleep(20);
+    }
+
+    assertThat(coordinator.store.restored.isEmpty(), is(false));
+    RangeTable restored = coordinator.store.restored.get(0).table();
+    assertThat(restored.version(), is(9 + TableRestoration.INCREMENT));
+    assertThat(restored.lastFence(), is(90 + TableRestoration.INCREMENT));
+  }
+
   /** The successor may have been cut off from its predecessor, or may have just started. */
   @Test
   void successorLearnsOfLeavingTargetsThatItsPredecessorHasListed() throws Exception {
     Host predecessor = new Host("old");
     final Host successor = new Host("new");
     Host reporter = new Host("reporter");
-    predecessor.becomeCoordinator(ScriptedStore.LEASE.term());
-    reporter.learn(predecessor.asCoordinator(ScriptedStore.LEASE.term()));
+    predecessor.becomeCoordinator(ScriptedStore.LEASE.term().revision());
+    reporter.learn(predecessor.asCoordinator(ScriptedStore.LEASE.term().revision()));
     reporter.leaving.add(LEAVING.incarnation());
     tickUntilContained(predecessor.leaving, reporter);
     tickUntilContained(reporter.listed, predecessor);
@@ -261,7 +299,7 @@
     Host host = new Host("new");
     host.becomeCoordinator(NEW_TERM);
 
-    host.learn(new StoreView.Coordinator("old", "127.0.0.1:9", NEW_TERM - 1));
+    host.learn(new StoreView.Coordinator("old", "127.0.0.1:9", term(NEW_TERM - 1)));
 
     assertThat(host.coordination.isCoordinator(), is(true));
   }
@@ -273,7 +311,7 @@
   void suspectedMemberObjectsInTheStore() throws Exception {
     Host host = new Host("a");
     host.members = MemberList.of(ImmutableSet.of("a", "b")).suspecting(ImmutableSet.of("a", "b"));
-    host.learn(new StoreView.Coordinator("other", "127.0.0.1:9", NEW_TERM));
+    host.learn(new StoreView.Coordinator("other", "127.0.0.1:9", term(NEW_TERM)));
 
     run(host.fleet::tick);
 
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/ColdTargetTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/ColdTargetTest.java
@@ -21,6 +21,7 @@
 import org.cowslipmoor.core.discovery.TargetDirectory;
 import org.cowslipmoor.core.discovery.TargetLimits;
 import org.cowslipmoor.core.fleet.MemberList;
+import org.cowslipmoor.core.fleet.StorePlace;
 import org.cowslipmoor.core.range.RangeTable;
 import org.cowslipmoor.core.routing.RequestKind;
 import org.cowslipmoor.core.routing.RoutingConfiguration;
@@ -99,10 +100,10 @@
         table,
         1,
         MemberList.of(members),
-        1,
+        new StorePlace(0, 1),
         null,
         true,
-        1,
+        new StorePlace(0, 1),
         ImmutableSet.of());
   }
 
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/FixedStore.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/FixedStore.java
@@ -3,15 +3,17 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.cowslipmoor.core.fleet.MemberList;
+import org.cowslipmoor.core.fleet.StorePlace;
 import org.cowslipmoor.core.range.Leadership;
 import org.cowslipmoor.core.range.RangeTable;
+import org.cowslipmoor.core.range.TableRestoration;
 import org.cowslipmoor.daemon.coordination.SharedStore;
 import org.cowslipmoor.daemon.coordination.StoreView;
 import org.cowslipmoor.schema.fleet.StoreNews;
 
 /** A store with a fixed view and no writes. */
 class FixedStore implements SharedStore {
-  private static final Leadership.Lease LEASE = new Leadership.Lease(1, 1);
+  private static final Leadership.Lease LEASE = new Leadership.Lease(1, new StorePlace(0, 1));
 
   private final StoreView view;
   private final CompletableFuture<Void> response;
@@ -49,17 +51,22 @@
   }
 
   @Override
-  public long revision() {
-    return view.revision();
+  public long era() {
+    return 0;
   }
 
   @Override
-  public long trackedSince() {
-    return 0;
+  public StorePlace place() {
+    return view.place();
   }
 
   @Override
-  public StoreNews updatesSince(long revision) {
+  public StorePlace trackedSince() {
+    return StorePlace.START;
+  }
+
+  @Override
+  public StoreNews updatesSince(StorePlace place) {
     return StoreNews.getDefaultInstance();
   }
 
@@ -102,7 +109,7 @@
   }
 
   @Override
-  public CompletableFuture<WriteResult> objectToRemoval(MemberList list, long revision) {
+  public CompletableFuture<WriteResult> objectToRemoval(MemberList list, StorePlace place) {
     return CompletableFuture.completedFuture(new WriteResult(CallResult.UNKNOWN, 0));
   }
 
@@ -110,4 +117,35 @@
   public CompletableFuture<TableResult> readTable() {
     return CompletableFuture.completedFuture(new TableResult(false, RangeTable.empty(), 0));
   }
+
+  @Override
+  public CompletableFuture<RecordsResult> readRecords() {
+    return CompletableFuture.completedFuture(RecordsResult.UNKNOWN);
+  }
+
+  @Override
+  public CompletableFuture<WriteResult> writeRestored(
+      TableRestoration.Records records, RecordsResult read, Leadership.Lease lease) {
+    return CompletableFuture.completedFuture(new WriteResult(CallResult.UNKNOWN, 0));
+  }
+
+  @Override
+  public StoreNews recordsRequest() {
+    return StoreNews.getDefaultInstance();
+  }
+
+  @Override
+  public boolean isRecordsRequest(StoreNews message) {
+    return message.getAsOf() == 0;
+  }
+
+  @Override
+  public StoreNews encodeRecords(TableRestoration.Records records) {
+    return StoreNews.newBuilder().setAsOf(1).build();
+  }
+
+  @Override
+  public TableRestoration.Records decodeRecords(StoreNews message) {
+    return TableRestoration.Records.NONE;
+  }
 }
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/LoopbackGateway.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/LoopbackGateway.java
@@ -24,6 +24,7 @@
 import org.cowslipmoor.core.discovery.TargetDirectory;
 import org.cowslipmoor.core.discovery.TargetLimits;
 import org.cowslipmoor.core.fleet.MemberList;
+import org.cowslipmoor.core.fleet.StorePlace;
 import org.cowslipmoor.core.range.GrantOutcome;
 import org.cowslipmoor.core.range.KeyRange;
 import org.cowslipmoor.core.range.RangeEntry;
@@ -116,10 +117,10 @@
         table,
         1,
         MemberList.of(members),
-        1,
+        new StorePlace(0, 1),
         null,
         true,
-        1);
+        new StorePlace(0, 1));
   }
 
   WebClient client(int port) {
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/PipelineTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/PipelineTest.java
@@ -21,6 +21,7 @@
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.discovery.TargetDirectory;
 import org.cowslipmoor.core.fleet.MemberList;
+import org.cowslipmoor.core.fleet.StorePlace;
 import org.cowslipmoor.core.range.RangeTable;
 import org.cowslipmoor.core.routing.RequestKind;
 import org.cowslipmoor.core.routing.RouteRule;
@@ -90,10 +91,10 @@
         RangeTable.empty(),
         1,
         MemberList.of(members),
-        1,
+        new StorePlace(0, 1),
         null,
         true,
-        1);
+        new StorePlace(0, 1));
   }
 
   private static String request(String method, String path, int number, String headers) {
--- a/testing/src/main/java/org/cowslipmoor/testing/coldstart/ColdStartSimulation.java
+++ b/testing/src/main/java/org/cowslipmoor/testing/coldstart/ColdStartSimulation.java
@@ -22,6 +22,7 @@
 import org.cowslipmoor.core.discovery.TargetDirectory;
 import org.cowslipmoor.core.discovery.TargetIncarnation;
 import org.cowslipmoor.core.discovery.TargetLimits;
+import org.cowslipmoor.core.fleet.StorePlace;
 import org.cowslipmoor.core.routing.ServiceDescription;
 import org.cowslipmoor.core.selection.TargetSelector;
 import org.cowslipmoor.testing.coldstart.ColdStartScenario.Start;
@@ -199,7 +200,9 @@
     hosts
         .get(leader)
         .ledger
-        .onTerm(term, pauses ? events.now() : events.now() - 2 * ColdLimit.WINDOW_NANOS);
+        .onTerm(
+            new StorePlace(0, term),
+            pauses ? events.now() : events.now() - 2 * ColdLimit.WINDOW_NANOS);
   }
 
   /** Lets something fail, and schedules the next failure. */
@@ -489,7 +492,7 @@
         return Optional.empty();
       }
       if (leads) {
-        ledger.onTerm(term, events.now());
+        ledger.onTerm(new StorePlace(0, term), events.now());
       }
       // At twice the speed of the clock, the window is half as long.
       long now = scenario.variant() == Variant.SHORT_WINDOW ? 2 * events.now() : events.now();
