Simulate placement over several data centres

Cause: the simulation of placement had one data centre, so that it didn't show which requests leave it.

Change: scenarios have data centres with their own demand, a burst in the first one and the loss of its targets; results tell what is served in time and what leaves. The former rule is a policy of the simulation.

--- a/testing/src/main/java/org/cowslipmoor/testing/placement/PlacementPolicy.java
+++ b/testing/src/main/java/org/cowslipmoor/testing/placement/PlacementPolicy.java
@@ -6,6 +6,12 @@
   /** The load balancer of the hosts. */
   record Product() implements PlacementPolicy {}
 
+  /**
+   * The load balancer of the hosts as it was before it kept requests in the data centre: the path
+   * to another data centre counts as waiting.
+   */
+  record FixedPathCost() implements PlacementPolicy {}
+
   /** Any target, with equal probability. */
   record Random() implements PlacementPolicy {}
 
--- a/testing/src/main/java/org/cowslipmoor/testing/placement/PlacementScenario.java
+++ b/testing/src/main/java/org/cowslipmoor/testing/placement/PlacementScenario.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
+import com.google.common.collect.ImmutableList;
+
 /**
  * A fleet and its load.
  *
@@ -16,6 +18,9 @@
  * @param linkBytesPerSecond capacity of the coordinator's network link
  * @param utilization offered load as a fraction of the capacity of all targets
  * @param rushUtilization offered load in every other second
+ * @param demandWeights by data centre, the demand of its hosts in relation to the capacity of its
+ *     targets; hosts and targets are spread evenly over the data centres
+ * @param disturbance what happens in the first data centre
  */
 public record PlacementScenario(
     int hosts,
@@ -27,12 +32,39 @@
     long objectiveNanos,
     double linkBytesPerSecond,
     double utilization,
-    double rushUtilization) {
+    double rushUtilization,
+    ImmutableList<Double> demandWeights,
+    Disturbance disturbance) {
+
+  /** What happens in the first data centre; times count from the end of the warm-up. */
+  public sealed interface Disturbance {
+
+    /** Nothing. */
+    record None() implements Disturbance {}
+
+    /**
+     * The demand of its hosts rises.
+     *
+     * @param factor factor on the demand
+     * @param fromNanos time of the rise
+     * @param untilNanos time at which it ends
+     */
+    record Burst(double factor, long fromNanos, long untilNanos) implements Disturbance {}
 
-  /** Checks the numbers of hosts and targets. */
+    /**
+     * Some of its targets are no longer usable, and the hosts know.
+     *
+     * @param share share of its targets, the fastest and the slowest alike
+     * @param atNanos time of the loss
+     */
+    record Loss(double share, long atNanos) implements Disturbance {}
+  }
+
+  /** Checks the numbers of hosts, targets and data centres. */
   public PlacementScenario {
     checkArgument(hosts >= 1, "hosts must be at least 1, but is %s", hosts);
     checkArgument(targets >= 1, "targets must be at least 1, but is %s", targets);
+    checkArgument(!demandWeights.isEmpty(), "there must be at least one data centre");
   }
 
   /**
@@ -53,6 +85,34 @@
         2_500_000_000L,
         25_000_000,
         utilization,
-        rushUtilization);
+        rushUtilization,
+        ImmutableList.of(1.0),
+        new Disturbance.None());
+  }
+
+  /** Returns this scenario with several data centres, by the weights of their demand. */
+  public PlacementScenario withDemandWeights(ImmutableList<Double> newWeights) {
+    return with(newWeights, disturbance);
+  }
+
+  /** Returns this scenario with a disturbance of the first data centre. */
+  public PlacementScenario withDisturbance(Disturbance newDisturbance) {
+    return with(demandWeights, newDisturbance);
+  }
+
+  private PlacementScenario with(ImmutableList<Double> newWeights, Disturbance newDisturbance) {
+    return new PlacementScenario(
+        hosts,
+        targets,
+        otherTargets,
+        slots,
+        queueLength,
+        serviceNanos,
+        objectiveNanos,
+        linkBytesPerSecond,
+        utilization,
+        rushUtilization,
+        newWeights,
+        newDisturbance);
   }
 }
--- a/testing/src/main/java/org/cowslipmoor/testing/placement/PlacementSimulation.java
+++ b/testing/src/main/java/org/cowslipmoor/testing/placement/PlacementSimulation.java
@@ -31,8 +31,11 @@
   private static final long NANOS_PER_MILLI = 1_000_000L;
   private static final long NANOS_PER_SECOND = 1_000_000_000L;
   private static final String SERVICE = "orders";
-  private static final String DATA_CENTRE = "cairo";
   private static final long ONE_WAY_DELAY_NANOS = 2 * NANOS_PER_MILLI;
+
+  /** Further delay of a request or response between two data centres. */
+  private static final long CROSS_DELAY_NANOS = 1_500_000L;
+
   private static final long REPORT_INTERVAL_NANOS = 250 * NANOS_PER_MILLI;
 
   /** Length of one target's state in a frame, in bytes. */
@@ -45,6 +48,9 @@
   private static final double SERVICE_TIME_SIGMA = 0.5;
   private static final double MIN_HOST_WEIGHT = 0.5;
 
+  /** Length of the periods by which the share that leaves is recorded. */
+  private static final long PERIOD_NANOS = NANOS_PER_SECOND / 2;
+
   private final PlacementScenario scenario;
   private final PlacementPolicy policy;
   private final SplittableRandom random;
@@ -61,6 +67,14 @@
   private long rejected;
   private long unplaced;
   private long late;
+  private long inTime;
+  private long left;
+
+  /** By data centre and period, the requests and how many of them left. */
+  private final int[][] periodRequests;
+
+  private final int[][] periodLeft;
+  private ImmutableList<DiscoveredTarget> usable;
 
   /**
    * Measurements of a run, as shares of the requests unless stated otherwise.
@@ -70,6 +84,9 @@
    * @param lost requests that a full target reset, which callers can't retry safely
    * @param rejected requests that a host rejected as not run
    * @param late requests with a response after their objective
+   * @param inTime requests with a response within their objective
+   * @param left requests that were sent to a target in another data centre
+   * @param leftOfFirst by half second, the share of the first data centre's requests that left
    * @param p50Millis median response time in milliseconds
    * @param p99Millis 99th percentile of the response time in milliseconds
    */
@@ -79,6 +96,9 @@
       double lost,
       double rejected,
       double late,
+      double inTime,
+      double left,
+      ImmutableList<Double> leftOfFirst,
       double p50Millis,
       double p99Millis) {}
 
@@ -89,30 +109,55 @@
     this.random = new SplittableRandom(seed);
     this.link = LinkBudget.create(scenario.linkBytesPerSecond(), 0);
     ImmutableList.Builder<DiscoveredTarget> all = ImmutableList.builder();
+    periodRequests = new int[scenario.demandWeights().size()][];
+    periodLeft = new int[scenario.demandWeights().size()][];
     for (int t = 0; t < scenario.targets(); t++) {
+      int dataCentre = dataCentreOf(t);
       all.add(
           new DiscoveredTarget(
               new TargetIncarnation("t" + t, 1),
               SERVICE,
               "t:" + (t + 1),
-              DATA_CENTRE,
+              "dc" + dataCentre,
               scenario.slots(),
               false,
               0));
       targets.add(new SimulatedTarget(SPEEDS[t % SPEEDS.length]));
     }
     directory = all.build();
+    usable = directory;
     for (int h = 0; h < scenario.hosts(); h++) {
       hosts.add(new SimulatedHost(h));
     }
   }
 
+  /** Returns the data centre of a target; each one has targets of all speeds. */
+  private int dataCentreOf(int target) {
+    return target / SPEEDS.length % scenario.demandWeights().size();
+  }
+
   /** Runs the simulation for a virtual time after the warm-up. */
   public Result run(int seconds) {
     endNanos = WARM_UP_NANOS + seconds * NANOS_PER_SECOND;
+    for (int d = 0; d < periodRequests.length; d++) {
+      periodRequests[d] = new int[(int) (endNanos / PERIOD_NANOS)];
+      periodLeft[d] = new int[(int) (endNanos / PERIOD_NANOS)];
+    }
     hosts.forEach(h -> events.after(random.nextLong(REPORT_INTERVAL_NANOS), h::report));
     events.after(REPORT_INTERVAL_NANOS, this::broadcast);
-    events.after(0, this::arrive);
+    for (int d = 0; d < scenario.demandWeights().size(); d++) {
+      int dataCentre = d;
+      ImmutableList<SimulatedHost> own =
+          hosts.stream()
+              .filter(h -> h.dataCentre == dataCentre)
+              .collect(ImmutableList.toImmutableList());
+      if (!own.isEmpty()) {
+        events.after(0, () -> arrive(dataCentre, own));
+      }
+    }
+    if (scenario.disturbance() instanceof PlacementScenario.Disturbance.Loss loss) {
+      events.after(WARM_UP_NANOS + loss.atNanos(), () -> loseTargets(loss.share()));
+    }
     events.runUntil(endNanos + 10 * scenario.serviceNanos(), () -> {});
     double total = Math.max(1, requests);
     return new Result(
@@ -121,6 +166,9 @@
         lost / total,
         rejected / total,
         late / total,
+        inTime / total,
+        left / total,
+        leftOfFirst(),
         responseMicros.getValueAtPercentile(50) / 1e3,
         responseMicros.getValueAtPercentile(99) / 1e3);
   }
@@ -129,25 +177,65 @@
     return startedAt >= WARM_UP_NANOS && startedAt < endNanos;
   }
 
-  private void arrive() {
+  private ImmutableList<Double> leftOfFirst() {
+    ImmutableList.Builder<Double> shares = ImmutableList.builder();
+    for (int p = (int) (WARM_UP_NANOS / PERIOD_NANOS); p < periodRequests[0].length; p++) {
+      shares.add((double) periodLeft[0][p] / Math.max(1, periodRequests[0][p]));
+    }
+    return shares.build();
+  }
+
+  private void loseTargets(double share) {
+    int lostTargets = 0;
+    int seen = 0;
+    ImmutableList.Builder<DiscoveredTarget> remaining = ImmutableList.builder();
+    for (int t = 0; t < directory.size(); t++) {
+      seen += dataCentreOf(t) == 0 ? 1 : 0;
+      if (dataCentreOf(t) == 0 && lostTargets < share * seen) {
+        lostTargets++;
+      } else {
+        remaining.add(directory.get(t));
+      }
+    }
+    usable = remaining.build();
+  }
+
+  private void arrive(int dataCentre, ImmutableList<SimulatedHost> own) {
     if (events.now() >= endNanos) {
       return;
     }
-    SimulatedHost host = hosts.get(random.nextInt(hosts.size()));
+    SimulatedHost host = own.get(random.nextInt(own.size()));
     if (random.nextDouble() < host.weight) {
       host.receive();
     }
-    boolean isRush = events.now() / NANOS_PER_SECOND % 2 == 1;
-    double load = isRush ? scenario.rushUtilization() : scenario.utilization();
-    double capacityPerSecond = 0;
-    for (SimulatedTarget t : targets) {
-      capacityPerSecond += scenario.slots() * t.speed * 1e9 / scenario.serviceNanos();
-    }
     // Hosts take a share of the arrivals that follows from their weights.
-    double arrivalsPerSecond = capacityPerSecond * load / ((1 + MIN_HOST_WEIGHT) / 2);
+    double arrivalsPerSecond = demandPerSecond(dataCentre) / ((1 + MIN_HOST_WEIGHT) / 2);
     events.after(
         (long) (-Math.log(1 - random.nextDouble()) * NANOS_PER_SECOND / arrivalsPerSecond),
-        this::arrive);
+        () -> arrive(dataCentre, own));
+  }
+
+  /** Returns the requests per second that the hosts of a data centre receive now. */
+  private double demandPerSecond(int dataCentre) {
+    double capacityPerSecond = 0;
+    double weighted = 0;
+    double ownWeighted = 0;
+    for (int t = 0; t < targets.size(); t++) {
+      double c = scenario.slots() * targets.get(t).speed * 1e9 / scenario.serviceNanos();
+      double w = c * scenario.demandWeights().get(dataCentreOf(t));
+      capacityPerSecond += c;
+      weighted += w;
+      ownWeighted += dataCentreOf(t) == dataCentre ? w : 0;
+    }
+    boolean isRush = events.now() / NANOS_PER_SECOND % 2 == 1;
+    double load = isRush ? scenario.rushUtilization() : scenario.utilization();
+    double factor = 1;
+    if (dataCentre == 0
+        && scenario.disturbance() instanceof PlacementScenario.Disturbance.Burst burst) {
+      long time = events.now() - WARM_UP_NANOS;
+      factor = time >= burst.fromNanos() && time < burst.untilNanos() ? burst.factor() : 1;
+    }
+    return capacityPerSecond * load * factor * ownWeighted / weighted;
   }
 
   /** Sends the fleet's state to all hosts, as often as the link allows. */
@@ -220,20 +308,27 @@
   /** A host with its own view of the targets. */
   private final class SimulatedHost {
     private final String id;
+    private final int dataCentre;
     private final double weight = MIN_HOST_WEIGHT + random.nextDouble() * (1 - MIN_HOST_WEIGHT);
-    private final TargetLoadBalancer balancer =
-        TargetLoadBalancer.create(DATA_CENTRE, random.split());
+    private final TargetLoadBalancer balancer;
     private final int[] own = new int[scenario.targets()];
     private final int[] ownWhenReported = new int[scenario.targets()];
     private final int[] others = new int[scenario.targets()];
 
     SimulatedHost(int number) {
       this.id = "h" + number;
+      this.dataCentre = number % scenario.demandWeights().size();
+      this.balancer =
+          policy instanceof PlacementPolicy.FixedPathCost
+              ? TargetLoadBalancer.createWithFixedPathCost("dc" + dataCentre, random.split())
+              : TargetLoadBalancer.create("dc" + dataCentre, random.split());
     }
 
     void receive() {
       long startedAt = events.now();
       requests += isMeasured(startedAt) ? 1 : 0;
+      int period = (int) (startedAt / PERIOD_NANOS);
+      periodRequests[dataCentre][period]++;
       int chosen = choose(startedAt);
       if (chosen < 0) {
         if (isMeasured(startedAt)) {
@@ -244,7 +339,11 @@
       }
       balancer.onSend(directory.get(chosen), startedAt);
       own[chosen]++;
-      events.after(ONE_WAY_DELAY_NANOS, () -> deliver(chosen, startedAt));
+      if (dataCentreOf(chosen) != dataCentre) {
+        left += isMeasured(startedAt) ? 1 : 0;
+        periodLeft[dataCentre][period]++;
+      }
+      events.after(pathNanos(chosen), () -> deliver(chosen, startedAt));
     }
 
     void report() {
@@ -272,6 +371,10 @@
       }
     }
 
+    private long pathNanos(int t) {
+      return ONE_WAY_DELAY_NANOS + (dataCentreOf(t) == dataCentre ? 0 : CROSS_DELAY_NANOS);
+    }
+
     private void onLoad(int t, int load) {
       others[t] = Math.max(0, load - own[t]);
       ownWhenReported[t] = own[t];
@@ -287,7 +390,7 @@
         countUnplaced();
       }
       events.after(
-          ONE_WAY_DELAY_NANOS,
+          pathNanos(t),
           () -> {
             own[t]--;
             balancer.onFailure(directory.get(t), events.now());
@@ -297,7 +400,7 @@
     private void respond(int t, long startedAt) {
       ReportedLoad load = targets.get(t).load();
       events.after(
-          ONE_WAY_DELAY_NANOS,
+          pathNanos(t),
           () -> {
             long elapsed = events.now() - startedAt;
             own[t]--;
@@ -306,6 +409,7 @@
             if (isMeasured(startedAt)) {
               responseMicros.recordValue(elapsed / 1_000);
               late += elapsed > scenario.objectiveNanos() ? 1 : 0;
+              inTime += elapsed > scenario.objectiveNanos() ? 0 : 1;
             }
           });
     }
@@ -319,6 +423,7 @@
     private int choose(long now) {
       return switch (policy) {
         case PlacementPolicy.Product p -> assign(now);
+        case PlacementPolicy.FixedPathCost p -> assign(now);
         case PlacementPolicy.Random p -> random.nextInt(targets.size());
         case PlacementPolicy.LeastInFlight p -> cheapest(t -> own[t]);
         case PlacementPolicy.PowerOfTwo p -> {
@@ -358,7 +463,7 @@
     private int assign(long now) {
       RequestRequirements requirements =
           new RequestRequirements(scenario.objectiveNanos(), 2 * scenario.objectiveNanos(), 1);
-      Placement placement = balancer.assign(directory, Set.of(), requirements, now);
+      Placement placement = balancer.assign(usable, Set.of(), requirements, now);
       return placement instanceof Placement.Send send ? directory.indexOf(send.target()) : -1;
     }
   }
