Expose what leaves the data centre, and compare it with the former rule

Cause: operators can't see how many requests leave, why, and with how many bytes; the simulation had no command line for several data centres.

Change: counters by service for requests without a key, those that left by reason, and response bytes; the log event `spillover` every 2 s when any left. `bin/experiment spillover` compares the rule with the former one.

--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
@@ -55,6 +55,7 @@
   private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
   private final RetryCounts retryCounts = new RetryCounts(System.nanoTime());
   private final TargetSelector selector;
+  private final SpilloverLog spilloverLog;
   private final GatewayLog log = new GatewayLog(System.nanoTime());
   private final CallerConnections callers = new CallerConnections();
   private final MemoryBudget bodyMemory = MemoryBudget.create(MAX_BODY_MEMORY_BYTES);
@@ -97,6 +98,7 @@
     this.retryLimits = retryLimits;
     this.random = random;
     this.metrics = metrics;
+    this.spilloverLog = new SpilloverLog(metrics, System.nanoTime());
     gauge(GatewayMetric.IN_PROGRESS, () -> inProgress);
     gauge(GatewayMetric.RANGE_TABLE, () -> view.table().version());
     gauge(GatewayMetric.TARGETS, () -> view.directory().all().size());
@@ -409,9 +411,10 @@
     return allowed;
   }
 
-  /** Logs the retry counts if a period has ended. */
+  /** Logs the counts of retries and of requests that left the data centre if a period has ended. */
   public void tick(long now) {
     retryCounts.tick(now);
+    spilloverLog.tick(loadBalancer.spilloverCounts(), now);
   }
 
   private SharedRetryBudget budget(String service, long now) {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayMetric.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayMetric.java
@@ -30,14 +30,43 @@
   SETTINGS_CONTENT("cowslipmoor_settings_content", "Hash of the settings file in force."),
   SETTINGS_PENDING("cowslipmoor_settings_pending", "Changed settings that wait for a restart."),
   TARGETS("cowslipmoor_targets", "Targets that are known."),
+  UNKEYED_PLACED(
+      "cowslipmoor_unkeyed_placed_total",
+      "Requests without a key that were assigned to a target, by service.",
+      "service"),
+  SPILLOVER_SATURATED(
+      "cowslipmoor_spillover_saturated_total",
+      "Those of them that left the data centre since its targets are loaded, by service.",
+      "service"),
+  SPILLOVER_NONE_USABLE(
+      "cowslipmoor_spillover_none_usable_total",
+      "Those of them that left the data centre since it has no usable target, by service.",
+      "service"),
+  SPILLOVER_BYTES(
+      "cowslipmoor_spillover_bytes_total",
+      "Response bytes from other data centres to requests without a key, by service.",
+      "service"),
   COORDINATOR("cowslipmoor_coordinator", "Whether this host coordinates: 1 or 0.");
 
+  private static final String DEFAULT_LABEL = "code";
+
   private final String exposedName;
   private final String help;
+  private final String label;
 
   GatewayMetric(String exposedName, String help) {
+    this(exposedName, help, DEFAULT_LABEL);
+  }
+
+  GatewayMetric(String exposedName, String help, String label) {
     this.exposedName = exposedName;
     this.help = help;
+    this.label = label;
+  }
+
+  /** Returns the name of the label that distinguishes the counters of the metric, if it has any. */
+  String label() {
+    return label;
   }
 
   /** Returns the name under which the metric is exposed. */
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/MetricsPage.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/MetricsPage.java
@@ -42,10 +42,11 @@
         .getCounters((name, unused) -> name.equals(m.name()) || name.startsWith(m.name() + "."))
         .forEach(
             (name, counter) -> {
-              String code = name.substring(m.name().length());
+              String value = name.substring(m.name().length());
               page.append(m.exposedName());
-              if (!code.isEmpty()) {
-                page.append("{code=\"").append(code, 1, code.length()).append("\"}");
+              if (!value.isEmpty()) {
+                page.append('{').append(m.label()).append("=\"");
+                page.append(value, 1, value.length()).append("\"}");
               }
               page.append(' ').append(counter.getCount()).append('\n');
             });
--- a/experiment/src/main/java/org/cowslipmoor/experiment/Experiment.java
+++ b/experiment/src/main/java/org/cowslipmoor/experiment/Experiment.java
@@ -36,6 +36,7 @@
             InvariantsCommand.class,
             BalanceCommand.class,
             PlacementCommand.class,
+            SpilloverCommand.class,
             LeavingCommand.class,
             OverloadCommand.class,
             FailuresCommand.class,
