--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
@@ -63,6 +63,7 @@
   private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
   private final RetryCounts retryCounts = new RetryCounts(System.nanoTime());
   private final TargetSelector selector;
+  private final SpilloverLog spilloverLog;
   private final GatewayLog log = new GatewayLog(System.nanoTime());
   private final CallerConnections callers = new CallerConnections();
   private final MemoryBudget bodyMemory = MemoryBudget.create(MAX_BODY_MEMORY_BYTES);
@@ -111,6 +112,7 @@
     this.random = random;
     this.metrics = metrics;
     connections.onIdleLost(this::onIdleConnectionLost);
+    this.spilloverLog = new SpilloverLog(metrics, System.nanoTime());
     gauge(GatewayMetric.IN_PROGRESS, () -> inProgress);
     gauge(GatewayMetric.RANGE_TABLE, () -> view.table().version());
     gauge(GatewayMetric.TARGETS, () -> view.directory().all().size());
@@ -597,9 +599,13 @@
     return allowed;
   }
 
-  /** Applies what changes with time alone, and logs the retry counts if a period has ended. */
+  /**
+   * Applies what changes with time alone, and logs the counts of retries and of requests that left
+   * the data centre if a period has ended.
+   */
   public void tick(long now) {
     retryCounts.tick(now);
+    spilloverLog.tick(loadBalancer.spilloverCounts(), now);
     if (selector.tick(now)) {
       updateView();
     }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayMetric.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayMetric.java
@@ -53,6 +53,22 @@
   SETTINGS_PENDING("cowslipmoor_settings_pending", "Changed settings that wait for a restart."),
   TARGETS("cowslipmoor_targets", "Targets that are known."),
   COLD_TARGETS("cowslipmoor_cold_targets", "Targets known to be cold whose service limits them."),
+  UNKEYED_PLACED(
+      "cowslipmoor_unkeyed_placed_total",
+      "Requests without a key that were assigned to a target, by service.",
+      "service"),
+  SPILLOVER_SATURATED(
+      "cowslipmoor_spillover_saturated_total",
+      "Those of them that left the data centre since its targets are loaded, by service.",
+      "service"),
+  SPILLOVER_NONE_USABLE(
+      "cowslipmoor_spillover_none_usable_total",
+      "Those of them that left the data centre since it has no usable target, by service.",
+      "service"),
+  SPILLOVER_BYTES(
+      "cowslipmoor_spillover_bytes_total",
+      "Response bytes from other data centres to requests without a key, by service.",
+      "service"),
   COORDINATOR("cowslipmoor_coordinator", "Whether this host coordinates: 1 or 0."),
   STORE_ERA("cowslipmoor_store_era", "Era of the store; 0 if it names none."),
   RESTORATIONS(
@@ -61,12 +77,25 @@
       "cowslipmoor_keys_held_seconds",
       "Time for which keys still can't move after a restoration by this host.");
 
+  private static final String DEFAULT_LABEL = "code";
+
   private final String exposedName;
   private final String help;
+  private final String label;
 
   GatewayMetric(String exposedName, String help) {
+    this(exposedName, help, DEFAULT_LABEL);
+  }
+
+  GatewayMetric(String exposedName, String help, String label) {
     this.exposedName = exposedName;
     this.help = help;
+    this.label = label;
+  }
+
+  /** Returns the name of the label that distinguishes the counters of the metric, if it has any. */
+  String label() {
+    return label;
   }
 
   /** Returns the name under which the metric is exposed. */
