--- a/core/src/main/java/org/cowslipmoor/core/admission/TargetLoadBalancer.java
+++ b/core/src/main/java/org/cowslipmoor/core/admission/TargetLoadBalancer.java
@@ -304,10 +304,10 @@
     double accepted = 0;
     for (DiscoveredTarget t : away) {
       double remaining = remainingLoad(t, now);
-      double limit = acceptedLoad(t, objectiveNanos);
       requests += reportedLoad(t) - remaining;
-      remaining += stats(t).failuresInProgress(now);
       reported += reportedLoad(t);
+      remaining += stats(t).failuresInProgress(now);
+      double limit = acceptedLoad(t, objectiveNanos);
       accepted += limit;
       double room = hasConnection(t) ? Math.max(0, limit - remaining) : 0;
       filling.add(remaining, roomLimit.apply(t, room), t.slots(), serviceNanos(t), 0);
--- a/core/src/main/java/org/cowslipmoor/core/coldstart/AllowanceLedger.java
+++ b/core/src/main/java/org/cowslipmoor/core/coldstart/AllowanceLedger.java
@@ -21,6 +21,9 @@
   private @Nullable StorePlace term;
   private long usableFrom;
 
+  /** Time at which the entries of all targets were last expired. */
+  private long expiredAt;
+
   private record Entry(long at, int requests) {}
 
   private AllowanceLedger() {}
@@ -38,6 +41,7 @@
     if (!currentTerm.equals(term)) {
       term = currentTerm;
       usableFrom = now + ColdLimit.WINDOW_NANOS;
+      expiredAt = now;
     }
   }
 
@@ -74,13 +78,18 @@
   }
 
   private Deque<Entry> entries(String target, long now) {
-    entriesByTarget
-        .values()
-        .removeIf(
-            entries -> {
-              entries.removeIf(e -> now - e.at() > ColdLimit.WINDOW_NANOS);
-              return entries.isEmpty();
-            });
-    return entriesByTarget.computeIfAbsent(target, unused -> new ArrayDeque<>());
+    // Each request looks at one target only; the others are dropped once in a window.
+    if (now - expiredAt > ColdLimit.WINDOW_NANOS) {
+      expiredAt = now;
+      entriesByTarget.values().removeIf(entries -> expire(entries, now).isEmpty());
+    }
+    return expire(entriesByTarget.computeIfAbsent(target, unused -> new ArrayDeque<>()), now);
+  }
+
+  private static Deque<Entry> expire(Deque<Entry> entries, long now) {
+    while (!entries.isEmpty() && now - entries.getFirst().at() > ColdLimit.WINDOW_NANOS) {
+      entries.removeFirst();
+    }
+    return entries;
   }
 }
--- a/daemon/src/test/java/org/cowslipmoor/daemon/gateway/EvacuationTest.java
+++ b/daemon/src/test/java/org/cowslipmoor/daemon/gateway/EvacuationTest.java
@@ -104,7 +104,7 @@
   }
 
   private static void assertRejectedAtOnce(WebClient client, String path) {
-    long sentAt = System.nanoTime();
+    final long sentAt = System.nanoTime();
     AggregatedHttpResponse response = get(client, path);
     assertThat(response.status().code(), is(503));
     assertThat(response.headers().get("cowslipmoor-effect"), is("not run"));
@@ -157,7 +157,7 @@
   /** Guards against a deadline that begins when old news arrive. */
   @Test
   void oldNewsLeaveNoTime() throws Exception {
-    WebClient client = startHost(LIMIT_MILLIS, "sheets");
+    final WebClient client = startHost(LIMIT_MILLIS, "sheets");
     store.ageNanos = LIMIT_NANOS;
     awaitConfirmation();
     evacuate("cairo", "delta");
