Let small hosts claim later at the first start; show failing targets

Cause: while no member is known, no host delayed its claim, so that a host with a link of 10 Mbit/s became coordinator; its updates came late and all hosts asked the store. Change: claims at the first start are ordered for an assumed fleet. Conclusion: a small coordinator still doesn't hand over to a larger host.

--- a/core/src/main/java/org/cowslipmoor/core/fleet/CoordinationLoad.java
+++ b/core/src/main/java/org/cowslipmoor/core/fleet/CoordinationLoad.java
@@ -20,6 +20,12 @@
   /** Fraction of a host's capacity above which it delays its claim. */
   private static final double UNDELAYED_FRACTION = 0.25;
 
+  /**
+   * Number of hosts that is assumed while the members are not known, as at the first start. It only
+   * orders the claims: without it a host with a narrow link may claim first and keep the role.
+   */
+  private static final int ASSUMED_HOSTS = 100;
+
   /** Limit on the delay, since it also delays a takeover by a small host. */
   private static final long MAX_CLAIM_DELAY_NANOS = 600_000_000L;
 
@@ -37,9 +43,14 @@
     return hosts * Math.max(BYTES_PER_SECOND_PER_HOST / linkBytesPerSecond, CORES_PER_HOST / cores);
   }
 
-  /** Returns how long this host delays its claim in a fleet of the given size. */
+  /**
+   * Returns how long this host delays its claim.
+   *
+   * @param hosts number of members; 0 if they are not known
+   */
   public long claimDelayNanos(int hosts) {
-    double excess = (fraction(hosts) - UNDELAYED_FRACTION) / (1 - UNDELAYED_FRACTION);
+    double load = fraction(hosts == 0 ? ASSUMED_HOSTS : hosts);
+    double excess = (load - UNDELAYED_FRACTION) / (1 - UNDELAYED_FRACTION);
     return (long) (MAX_CLAIM_DELAY_NANOS * Math.max(0, Math.min(1, excess)));
   }
 }
--- a/core/src/test/java/org/cowslipmoor/core/admission/TargetLoadBalancerTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/admission/TargetLoadBalancerTest.java
@@ -92,6 +92,27 @@
   private static final List<DiscoveredTarget> TWO_DATA_CENTRES =
       List.of(target("near", "cairo"), target("far", "giza"));
 
+  /** Guards against a target that fails at once, looks idle, and attracts most requests. */
+  @Test
+  void targetThatFailsAtOnceDoesNotLookIdle() {
+    final List<DiscoveredTarget> targets =
+        List.of(target("a", "cairo"), target("b", "cairo"), target("c", "cairo"));
+    fleet("a", 2, 50);
+    fleet("b", 2, 50);
+    fleet("c", 2, 50);
+    // Below the number of failures at which the host ejects a target by itself.
+    for (int i = 0; i < 2; i++) {
+      balancer.onSend(targets.get(0), NOW);
+      balancer.onFailure(targets.get(0), NOW);
+    }
+    int chosen = 0;
+    for (int i = 0; i < 300; i++) {
+      Placement p = balancer.assign(targets, Set.of(), REQUIREMENTS, NOW);
+      chosen += p instanceof Placement.Send s && s.target().id().equals("a") ? 1 : 0;
+    }
+    assertThat(chosen, is(lessThan(60)));
+  }
+
   /** Guards against traffic between data centres for targets there that are merely faster. */
   @Test
   void nothingLeavesWhileTheOwnDataCentreServesInTime() {
--- a/core/src/test/java/org/cowslipmoor/core/fleet/CoordinationLoadTest.java
+++ b/core/src/test/java/org/cowslipmoor/core/fleet/CoordinationLoadTest.java
@@ -21,4 +21,14 @@
   void equalHostsOfSmallFleetDoNotDelayTheirClaims() {
     assertThat(new CoordinationLoad(87_500_000, 0.42).claimDelayNanos(19), is(0L));
   }
+
+  /**
+   * Guards against a coordinator with a narrow link that claimed at the first start, when no member
+   * is known: its updates came late, and all hosts asked the store instead.
+   */
+  @Test
+  void smallHostsDelayTheirClaimsWhileTheMembersAreUnknown() {
+    assertThat(LARGE.claimDelayNanos(0), is(0L));
+    assertThat(SMALL.claimDelayNanos(0), greaterThan(300_000_000L));
+  }
 }
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/Gateway.java
@@ -117,6 +117,7 @@
     gauge(GatewayMetric.RANGE_TABLE, () -> view.table().version());
     gauge(GatewayMetric.TARGETS, () -> view.directory().all().size());
     gauge(GatewayMetric.COLD_TARGETS, () -> coldTargets(System.nanoTime()).size());
+    gauge(GatewayMetric.FAILING_TARGETS, () -> fleet.failing().size());
     gauge(GatewayMetric.CONFIGURATION, this::configurationVersion);
     gauge(GatewayMetric.BODY_MEMORY, bodyMemory::reservedBytes);
     gauge(GatewayMetric.UNEXPECTED_BYTES, connections::unexpectedBytesCount);
@@ -195,6 +196,7 @@
 
   /** Applies the aggregated state of all hosts. */
   public void onFleetState(FleetState newState, long now) {
+    log.onFailingTargets(fleet.failing(), newState.failing(), now);
     fleet = newState;
     loadBalancer.onFleetState(newState, now);
     fleetSize.onCount(newState.hosts(), now);
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayLog.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayLog.java
@@ -2,12 +2,16 @@
 
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Sets;
+import java.util.List;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import org.cowslipmoor.core.discovery.DiscoveredTarget;
 import org.cowslipmoor.core.discovery.Evacuations;
 import org.cowslipmoor.core.discovery.TargetDirectory;
 import org.cowslipmoor.core.discovery.TargetIncarnation;
+import org.cowslipmoor.core.fleet.FleetState;
 import org.cowslipmoor.core.limit.LogLimit;
 import org.cowslipmoor.daemon.http.Exchange;
 import org.jspecify.annotations.Nullable;
@@ -29,6 +33,7 @@
   private final LogLimit sentToLeaving;
   private final LogLimit cold;
   private final LogLimit allowances;
+  private final LogLimit failing;
   private int allowancesAsked;
   private int allowancesHandedOut;
 
@@ -41,6 +46,7 @@
     sentToLeaving = LogLimit.create(MAX_LINES, PERIOD_NANOS, now);
     cold = LogLimit.create(MAX_LINES, PERIOD_NANOS, now);
     allowances = LogLimit.create(1, PERIOD_NANOS, now);
+    failing = LogLimit.create(MAX_LINES, PERIOD_NANOS, now);
   }
 
   /**
@@ -239,6 +245,31 @@
     }
   }
 
+  /** Logs the targets that the coordinator publishes as failing, when they have changed. */
+  void onFailingTargets(
+      List<FleetState.FailingTarget> before, List<FleetState.FailingTarget> after, long now) {
+    Set<String> added = describe(after);
+    added.removeAll(describe(before));
+    Set<String> removed = describe(before);
+    removed.removeAll(describe(after));
+    if ((!added.isEmpty() || !removed.isEmpty()) && failing.tryAcquire(now)) {
+      Logger.info(
+          "event=failing_targets ejected={} returned={} suppressed={}",
+          added,
+          removed,
+          failing.drainSuppressed());
+    }
+  }
+
+  /** Returns each target with the data centre for whose hosts it is ejected, if not for all. */
+  private static Set<String> describe(List<FleetState.FailingTarget> targets) {
+    Set<String> names = new TreeSet<>();
+    for (FleetState.FailingTarget t : targets) {
+      names.add(t.dataCentre().isEmpty() ? t.target() : t.target() + "@" + t.dataCentre());
+    }
+    return names;
+  }
+
   /** Returns a task of the event loop that also logs the exception that it ends with. */
   Runnable logged(Runnable task) {
     return () -> {
--- a/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayMetric.java
+++ b/daemon/src/main/java/org/cowslipmoor/daemon/gateway/GatewayMetric.java
@@ -52,6 +52,8 @@
   SETTINGS_CONTENT("cowslipmoor_settings_content", "Hash of the settings file in force."),
   SETTINGS_PENDING("cowslipmoor_settings_pending", "Changed settings that wait for a restart."),
   TARGETS("cowslipmoor_targets", "Targets that are known."),
+  FAILING_TARGETS(
+      "cowslipmoor_failing_targets", "Targets that the coordinator publishes as failing."),
   COLD_TARGETS("cowslipmoor_cold_targets", "Targets known to be cold whose service limits them."),
   UNKEYED_PLACED(
       "cowslipmoor_unkeyed_placed_total",
